--- /dev/null
+++ b/packages/configuration/src/lookup-tables.ts
@@ -0,0 +1,92 @@
+/**
+ * Tables that answer the questions of a request in time independent of the number of workspaces
+ * and targets. They are built once for each adopted version.
+ */
+import {
+	type ConfigurationDocument,
+	type RouteDefinition,
+	type TargetDefinition,
+} from './document-schema.js';
+import {digestKey} from './key-digest.js';
+
+export type RouteQuery = {
+	/** Host name in lower case without port. */
+	readonly host: string;
+	/** Decoded and normalised path. */
+	readonly path: string;
+	readonly method: string;
+};
+
+export type LookupTables = {
+	readonly document: ConfigurationDocument;
+	/** The route with the longest matching prefix; among equals, the one named first. */
+	findRoute(query: RouteQuery): RouteDefinition | undefined;
+	/**
+	 * The workspace that owns the key. Only the digest of the key takes part in the look-up, so the
+	 * time does not depend on how much of a guessed key is right.
+	 */
+	findWorkspace(key: string): string | undefined;
+	isActiveKeyDigest(digest: string, workspace: string): boolean;
+	findTarget(id: string): TargetDefinition | undefined;
+	isDomainActive(failureDomain: string): boolean;
+};
+
+/** Splits `/a/b` into the prefixes `/a/b`, `/a` and `/`, longest first. */
+function prefixesOf(path: string): string[] {
+	const prefixes = [path];
+	for (let end = path.lastIndexOf('/'); end > 0; end = path.lastIndexOf('/', end - 1)) {
+		prefixes.push(path.slice(0, end + 1), path.slice(0, end));
+	}
+
+	prefixes.push('/');
+	return prefixes;
+}
+
+function accepts(route: RouteDefinition, query: RouteQuery): boolean {
+	const isHostAccepted = route.hosts.length === 0 || route.hosts.includes(query.host);
+	return isHostAccepted && (route.methods.length === 0 || route.methods.includes(query.method));
+}
+
+export function createLookupTables(document: ConfigurationDocument): LookupTables {
+	const routesByPrefix = new Map<string, RouteDefinition[]>();
+	for (const route of document.routes) {
+		const routes = routesByPrefix.get(route.pathPrefix);
+		if (routes === undefined) {
+			routesByPrefix.set(route.pathPrefix, [route]);
+		} else {
+			routes.push(route);
+		}
+	}
+
+	const workspaceByDigest = new Map<string, string>();
+	for (const [name, workspace] of Object.entries(document.workspaces)) {
+		for (const digest of workspace.keyDigests) {
+			workspaceByDigest.set(digest, name);
+		}
+	}
+
+	const targets = new Map<string, TargetDefinition>();
+	for (const service of Object.values(document.services)) {
+		for (const target of service.targets) {
+			targets.set(target.id, target);
+		}
+	}
+
+	return {
+		document,
+		findRoute(query) {
+			for (const prefix of prefixesOf(query.path)) {
+				const route = routesByPrefix.get(prefix)?.find(candidate => accepts(candidate, query));
+				if (route !== undefined) {
+					return route;
+				}
+			}
+
+			return undefined;
+		},
+		findWorkspace: key => workspaceByDigest.get(digestKey(key)),
+		isActiveKeyDigest: (digest, workspace) => workspaceByDigest.get(digest) === workspace,
+		findTarget: id => targets.get(id),
+		isDomainActive: failureDomain => document.failureDomains[failureDomain]?.state === 'in',
+	};
+}
--- /dev/null
+++ b/packages/configuration/src/parse-document.ts
@@ -0,0 +1,91 @@
+/**
+ * Turns untrusted input into a checked document. Reports every problem with its place, and changes
+ * nothing when there is one.
+ */
+import {type z} from 'zod';
+import {ConfigurationError} from './configuration-error.js';
+import {documentSchema, type ConfigurationDocument} from './document-schema.js';
+
+/** Writes a path as `routes[3].timeout`. */
+export function formatPath(path: readonly PropertyKey[]): string {
+	let text = '';
+	for (const part of path) {
+		text += typeof part === 'number' ? `[${part}]` : `${text === '' ? '' : '.'}${String(part)}`;
+	}
+
+	return text === '' ? 'document' : text;
+}
+
+function formatIssue(issue: z.core.$ZodIssue): string {
+	return `${formatPath(issue.path)}: ${issue.message}`;
+}
+
+/** Problems that span several fields. Linear in the size of the document. */
+function findBrokenReferences(document: ConfigurationDocument): string[] {
+	const problems: string[] = [];
+	const targetIds = new Map<string, string>();
+	for (const [name, service] of Object.entries(document.services)) {
+		if (service.coldSlots > service.slots) {
+			problems.push(`services.${name}.coldSlots: must be at most slots (${service.slots})`);
+		}
+
+		for (const [index, target] of service.targets.entries()) {
+			const place = `services.${name}.targets[${index}]`;
+			const first = targetIds.get(target.id);
+			if (first !== undefined) {
+				problems.push(`${place}.id: "${target.id}" is already used at ${first}`);
+			}
+
+			targetIds.set(target.id, place);
+			if (!Object.hasOwn(document.failureDomains, target.failureDomain)) {
+				problems.push(`${place}.failureDomain: "${target.failureDomain}" is not in failureDomains`);
+			}
+		}
+	}
+
+	const routeIds = new Set<string>();
+	for (const [index, route] of document.routes.entries()) {
+		if (routeIds.has(route.id)) {
+			problems.push(`routes[${index}].id: "${route.id}" is used twice`);
+		}
+
+		routeIds.add(route.id);
+		if (!Object.hasOwn(document.services, route.service)) {
+			problems.push(`routes[${index}].service: "${route.service}" is not in services`);
+		}
+	}
+
+	const digestOwners = new Map<string, string>();
+	for (const [name, workspace] of Object.entries(document.workspaces)) {
+		for (const [index, digest] of workspace.keyDigests.entries()) {
+			const owner = digestOwners.get(digest);
+			if (owner !== undefined) {
+				problems.push(
+					`workspaces.${name}.keyDigests[${index}]: the same key belongs to workspace "${owner}"`,
+				);
+			}
+
+			digestOwners.set(digest, name);
+		}
+	}
+
+	return problems;
+}
+
+/** Parses a document. Throws a `ConfigurationError` that names every problem. */
+export function parseDocument(input: unknown): ConfigurationDocument {
+	const result = documentSchema.safeParse(input);
+	if (!result.success) {
+		throw new ConfigurationError(
+			'invalid-document',
+			result.error.issues.map(issue => formatIssue(issue)),
+		);
+	}
+
+	const problems = findBrokenReferences(result.data);
+	if (problems.length > 0) {
+		throw new ConfigurationError('invalid-document', problems);
+	}
+
+	return result.data;
+}
--- /dev/null
+++ b/packages/kernel/src/handlers.ts
@@ -0,0 +1,23 @@
+/**
+ * Lookup tables of handlers: one handler per kind of message.
+ */
+
+export type Handlers<Message extends {readonly kind: string}, Context, Result = void> = {
+	readonly [Kind in Message['kind']]: (
+		message: Extract<Message, {readonly kind: Kind}>,
+		context: Context,
+	) => Result;
+};
+
+/** Calls the handler of the message's kind. The table is complete by its type. */
+export function dispatch<Message extends {readonly kind: string}, Context, Result>(
+	handlers: Handlers<Message, Context, Result>,
+	message: Message,
+	context: Context,
+): Result {
+	const handler = handlers[message.kind as Message['kind']] as (
+		message: Message,
+		context: Context,
+	) => Result;
+	return handler(message, context);
+}
--- /dev/null
+++ b/packages/kernel/src/instance-id.ts
@@ -0,0 +1,17 @@
+/**
+ * Identity of a running daemon process. A replaced process on the same address gets a new
+ * incarnation and is therefore a different member.
+ */
+
+/** `<ip>:<peer port>#<incarnation>`, for example `10.0.0.7:7400#9f3a61c2b0d4`. */
+export type InstanceId = string;
+
+export function createInstanceId(address: string, incarnation: string): InstanceId {
+	return `${address}#${incarnation}`;
+}
+
+/** The `<ip>:<peer port>` part. */
+export function addressOf(instance: InstanceId): string {
+	const separator = instance.lastIndexOf('#');
+	return separator === -1 ? instance : instance.slice(0, separator);
+}
--- /dev/null
+++ b/packages/kernel/src/mailbox.ts
@@ -0,0 +1,57 @@
+/**
+ * The inbox of a task. A task owns its state; everything else reaches it as messages, which are
+ * handled one at a time in order of arrival.
+ */
+import PQueue from 'p-queue';
+import {dispatch, type Handlers} from './handlers.js';
+
+export type MailboxOptions<Message extends {readonly kind: string}, Context> = {
+	readonly handlers: Handlers<Message, Context, Promise<void> | void>;
+	readonly context: Context;
+	/** Called with the error of a handler. The task goes on with the next message. */
+	readonly onError: (error: unknown, message: Message) => void;
+};
+
+export type Mailbox<Message> = {
+	/** Queues a message; never throws. Messages sent after `close` are dropped. */
+	send(message: Message): void;
+	/** Resolves when every queued message has been handled. */
+	idle(): Promise<void>;
+	/** Handles what is queued, then drops all further messages. */
+	close(): Promise<void>;
+	readonly size: number;
+};
+
+export function createMailbox<Message extends {readonly kind: string}, Context>(
+	options: MailboxOptions<Message, Context>,
+): Mailbox<Message> {
+	const queue = new PQueue({concurrency: 1});
+	let isClosed = false;
+
+	async function handle(message: Message): Promise<void> {
+		// Errors end here, so the promise that `queue.add` returns never rejects.
+		try {
+			await dispatch(options.handlers, message, options.context);
+		} catch (error) {
+			options.onError(error, message);
+		}
+	}
+
+	return {
+		send(message) {
+			if (!isClosed) {
+				void queue.add(async () => handle(message));
+			}
+		},
+		async idle() {
+			await queue.onIdle();
+		},
+		async close() {
+			isClosed = true;
+			await queue.onIdle();
+		},
+		get size() {
+			return queue.size + queue.pending;
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy-membership/src/share-fraction.ts
@@ -0,0 +1,23 @@
+/**
+ * What other packages need to know of share lending. They get these functions passed in, so that
+ * they can be used and tested without the membership task.
+ */
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+
+/** For example `rate:beach`, `shard:roster/0` or `idempotency:17`. */
+export type Resource = string;
+
+/** The part of a resource, 0 to 1, that has been lent to this instance. */
+export type ShareFraction = {
+	/** Lenders with a lease in force, including this instance, divided by D. */
+	readonly current: number;
+	/** The same, but only lenders that have lent without interruption for one slot grant term. */
+	readonly vested: number;
+	/** Monotonic milliseconds since which `current` has been above one half without interruption. */
+	readonly majoritySince: number | undefined;
+};
+
+export type ShareSource = (resource: Resource, now: number) => ShareFraction;
+
+/** The instance to which this one lends its share of the resource, or none during a change. */
+export type OwnerLookup = (resource: Resource, now: number) => InstanceId | undefined;
--- /dev/null
+++ b/packages/testkit/src/__tests__/steerable-clock.test.ts
@@ -0,0 +1,25 @@
+import {expect, test} from '@jest/globals';
+import {createSteerableClock} from '../steerable-clock.js';
+
+test('timers run in order of time, and at the time that they were set for', () => {
+	const clock = createSteerableClock();
+	const seen: string[] = [];
+	clock.after(30, () => void seen.push(`b${clock.monotonic()}`));
+	clock.after(10, () => void seen.push(`a${clock.monotonic()}`));
+	const cancel = clock.every(20, () => void seen.push(`t${clock.monotonic()}`));
+	clock.advance(40);
+	cancel();
+	clock.advance(40);
+	expect(seen).toEqual(['a10', 't20', 'b30', 't40']);
+});
+
+test('a paused process runs nothing, and wakes with the time that has passed', () => {
+	const clock = createSteerableClock();
+	const seen: number[] = [];
+	clock.after(10, () => void seen.push(clock.monotonic()));
+	clock.pause();
+	clock.advance(5000);
+	expect(seen).toEqual([]);
+	clock.resume();
+	expect(seen).toEqual([5000]);
+});
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,35 @@
+/** Formatting is checked by Prettier with XO's style; XO checks the rest. */
+const config = [
+	{ignores: ['**/dist/**', 'reports/**', 'coverage/**']},
+	{
+		prettier: 'compat',
+		rules: {
+			// Packages of the workspace import each other by subpath, which the resolver of these rules does not know.
+			'import-x/no-extraneous-dependencies': 'off',
+			// Order matters where the code awaits in a loop: services start and stop one by one.
+			'no-await-in-loop': 'off',
+			'n/no-extraneous-import': 'off',
+			// `void promise` marks a promise that is not awaited on purpose.
+			'no-void': ['error', {allowAsStatement: true}],
+			// The order of members follows the order in which a reader needs them.
+			'@typescript-eslint/member-ordering': 'off',
+		},
+	},
+	{
+		files: ['packages/*/src/**/__tests__/**/*.ts'],
+		languageOptions: {
+			parserOptions: {
+				projectService: false,
+				project: ['./tsconfig.tests.json'],
+				tsconfigRootDir: import.meta.dirname,
+			},
+		},
+		rules: {
+			// Callbacks in tests record events with `void list.push(…)`.
+			'no-void': 'off',
+			'no-await-in-loop': 'off',
+		},
+	},
+];
+
+export default config;
