Define what the request path asks of the policies

Cause: the HTTP code and the policies are written side by side and need one contract. Change: request-policy.ts with the types of admission, slots, outcomes and idempotency. Result: types only, nothing measured.

--- /dev/null
+++ b/packages/io-http/src/request-policy.ts
@@ -0,0 +1,107 @@
+/**
+ * What the request path asks of the rest of the daemon. The HTTP code knows nothing of leases,
+ * peers or owners: it gets one object with these functions and keeps to their answers.
+ */
+import {type TargetDefinition} from '@shallotpond/configuration/document-schema';
+import {type LookupTables} from '@shallotpond/configuration/lookup-tables';
+
+/** Whether a request ran at a target. `not-run` is said only where it is proved. */
+export type RunState = 'not-run' | 'may-have-run' | 'ran';
+
+/** A request that goes no further. */
+export type Refusal = {
+	readonly kind: 'refused';
+	/** Stable code in kebab case, for example `rate-exceeded`. */
+	readonly code: string;
+	/** HTTP status for the caller. */
+	readonly status: number;
+	readonly detail: string;
+	readonly runState: RunState;
+	/** Milliseconds after which another try makes sense. */
+	readonly retryAfter?: number;
+};
+
+export type AttemptResult =
+	/** A whole answer that met the expectations of the route. */
+	| 'ok'
+	/** A whole answer with a status of 500 or above that is not a shed answer. */
+	| 'error'
+	/** No head, or no further byte, in time. */
+	| 'timeout'
+	/** A blank or cut answer. */
+	| 'incomplete'
+	/** No connection; nothing was written. */
+	| 'connection-failed'
+	/** The connection broke after the first byte was written and before a whole answer. */
+	| 'connection-broken'
+	/** The target said that it did not run the request. */
+	| 'shed'
+	/** The caller went away, the key was withdrawn or the grant ran out. Says nothing of the target. */
+	| 'cancelled';
+
+export type AttemptOutcome = {
+	readonly result: AttemptResult;
+	/** Milliseconds from dispatch to the head of the answer, or to the failure. */
+	readonly latency: number;
+	/** Milliseconds for which the slot was in use. */
+	readonly slotTime: number;
+	/** Changes when the target process was restarted, where the target says so. */
+	readonly generation?: string;
+};
+
+export type SlotGrant = {
+	readonly kind: 'granted';
+	readonly target: TargetDefinition;
+	/** Aborts when the grant could not be renewed, or the target must not get the request any more. */
+	readonly signal: AbortSignal;
+	/** Must be called exactly once. */
+	release(outcome: AttemptOutcome): void;
+};
+
+export type AdmissionRequest = {
+	readonly workspace: string;
+	/** Monotonic milliseconds. */
+	readonly deadline: number;
+	/** Aborts when the caller goes away. */
+	readonly signal: AbortSignal;
+};
+
+export type SlotRequest = AdmissionRequest & {
+	readonly service: string;
+	/** Targets that this request has tried. */
+	readonly excludedTargets: readonly string[];
+	/** Failure domains to avoid where another has room. */
+	readonly avoidedFailureDomains: readonly string[];
+};
+
+export type IdempotencyRequest = {
+	readonly workspace: string;
+	readonly key: string;
+	readonly deadline: number;
+};
+
+export type IdempotencyClaim = {
+	readonly kind: 'claimed';
+	/** Must be called exactly once. `not-run` frees the key for another try. */
+	settle(state: RunState): void;
+};
+
+export type RequestPolicy = {
+	/** Undefined until the first configuration has been adopted. */
+	tables(): LookupTables | undefined;
+	/** Whether the instance reaches neither the configuration service nor any peer. */
+	isIsolated(): boolean;
+	/** Takes one token of the workspace's rate; may wait for a short time. */
+	admit(request: AdmissionRequest): Promise<{readonly kind: 'admitted'} | Refusal>;
+	/** Waits in the fair queue for a slot at a target. */
+	acquireSlot(request: SlotRequest): Promise<SlotGrant | Refusal>;
+	/** Claims an idempotency key for the first request that carries it. */
+	claimIdempotencyKey(request: IdempotencyRequest): Promise<IdempotencyClaim | Refusal>;
+	/** Refuses a request that has crashed targets. `fingerprint` is a digest. */
+	checkFingerprint(fingerprint: string, deadline: number): Promise<Refusal | undefined>;
+	reportCrash(fingerprint: string, target: string): void;
+	/** Counts a real request; the budget for retries and hedges grows with these. */
+	countRequest(): void;
+	/** Takes one retry or hedge from the budget. */
+	takeRetry(): boolean;
+};
