--- a/xo.config.js
+++ b/xo.config.js
@@ -11,6 +11,9 @@
 			'n/no-extraneous-import': 'off',
 			// `void promise` marks a promise that is not awaited on purpose.
 			'no-void': ['error', {allowAsStatement: true}],
+			// `clock.every(interval, callback)` looks like the method of arrays to these rules.
+			'unicorn/no-array-callback-reference': 'off',
+			'unicorn/no-array-method-this-argument': 'off',
 			// The order of members follows the order in which a reader needs them.
 			'@typescript-eslint/member-ordering': 'off',
 		},
