Add logs, metrics, traces and the admin listener

Cause: operators need to see what an instance does without a line for each request. Change: winston logger with masked fields, HDR histograms and counters in Prometheus text, OpenTelemetry spans with W3C traceparent exported over OTLP/HTTP, and a loopback listener.

--- /dev/null
+++ b/packages/observability/src/__tests__/observability.test.ts
@@ -0,0 +1,132 @@
+import {createServer, type IncomingHttpHeaders} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {Writable} from 'node:stream';
+import {describe, expect, test} from '@jest/globals';
+import {transports} from 'winston';
+import {createAdminListener} from '../admin-listener.js';
+import {createLogger} from '../logger.js';
+import {createMetrics} from '../metrics.js';
+import {contextFromTraceparent, createTracing} from '../tracing.js';
+
+describe('logger', () => {
+	test('a field that is named like a secret never reaches the output', () => {
+		const lines: string[] = [];
+		const stream = new Writable({
+			write(chunk, _encoding, callback) {
+				lines.push(String(chunk));
+				callback();
+			},
+		});
+		const logger = createLogger({
+			format: 'json',
+			level: 'info',
+			transport: new transports.Stream({stream}),
+		});
+		logger.info('configuration adopted', {version: 3, apiKey: 'hunter2'});
+		expect(lines.join('')).toContain('"version":3');
+		expect(lines.join('')).not.toContain('hunter2');
+	});
+});
+
+describe('metrics', () => {
+	test('counters and quantiles appear in the format that Prometheus reads', async () => {
+		const metrics = createMetrics();
+		metrics.count('requests', 2, {outcome: 'ok'});
+		metrics.count('requests', 1, {outcome: 'refused'});
+		metrics.gauge('members', 'Members of the view', () => 7);
+		for (let milliseconds = 1; milliseconds <= 100; milliseconds++) {
+			metrics.record('request-duration', milliseconds);
+		}
+
+		const page = await metrics.render();
+		expect(page).toContain('shallotpond_requests_total{outcome="ok"} 2');
+		expect(page).toContain('shallotpond_members 7');
+		const [, p99] = /request_duration_milliseconds{quantile="0.99"} ([\d.]+)/.exec(page) ?? [];
+		expect(Math.abs(Number(p99) - 99)).toBeLessThan(1.5);
+		expect(await metrics.total('requests')).toBe(3);
+	});
+});
+
+describe('tracing', () => {
+	test('spans arrive at a collector with the trace of the caller and a parent for each hop', async () => {
+		const bodies: string[] = [];
+		const headers: IncomingHttpHeaders[] = [];
+		const collector = createServer((request, response) => {
+			const chunks: Uint8Array[] = [];
+			request.on('data', (chunk: Uint8Array) => void chunks.push(chunk));
+			request.on('end', () => {
+				headers.push(request.headers);
+				bodies.push(new TextDecoder().decode(chunks.length === 1 ? chunks[0] : undefined));
+				response.writeHead(200, {'content-type': 'application/json'}).end('{}');
+			});
+		});
+		await new Promise<void>(resolve => {
+			collector.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = collector.address() as AddressInfo;
+		const tracing = createTracing({
+			endpoint: `http://127.0.0.1:${port}/v1/traces`,
+			sampleRatio: 0,
+			instance: 'test',
+		});
+		const traceId = '0af7651916cd43dd8448eb211c80319c';
+		const traceparent = `00-${traceId}-b7ad6b7169203331-01`;
+		const server = tracing.startHop({name: 'request', kind: 'server', traceparent});
+		const attempt = tracing.startHop({name: 'attempt', kind: 'client', parent: server});
+		expect(attempt.traceparent).toMatch(new RegExp(`^00-${traceId}-[0-9a-f]{16}-01$`));
+		attempt.end('timeout');
+		server.end();
+		await tracing.stop();
+		collector.close();
+		type Exported = {
+			resourceSpans: Array<{scopeSpans: Array<{spans: Array<Record<string, unknown>>}>}>;
+		};
+		const exported = JSON.parse(bodies[0]!) as Exported;
+		const {spans} = exported.resourceSpans[0]!.scopeSpans[0]!;
+		expect(spans.map(span => [span.name, span.traceId])).toEqual([
+			['attempt', traceId],
+			['request', traceId],
+		]);
+		expect(spans[0]!.parentSpanId).toBe(spans[1]!.spanId);
+		expect(spans[1]!.parentSpanId).toBe('b7ad6b7169203331');
+	});
+
+	test('a malformed traceparent starts a new trace instead of an invalid one', () => {
+		const root = contextFromTraceparent(undefined);
+		expect(contextFromTraceparent(`00-${'0'.repeat(32)}-b7ad6b7169203331-01`)).toBe(root);
+		expect(contextFromTraceparent('00-xyz')).toBe(root);
+	});
+});
+
+describe('admin listener', () => {
+	test('readiness, status and metrics answer, and unknown pages do not', async () => {
+		let drains = 0;
+		const listener = createAdminListener({
+			host: '127.0.0.1',
+			port: 0,
+			readiness: () => ({isReady: false, reason: 'no configuration yet'}),
+			status: () => ({version: 4}),
+			metrics: async () => ({contentType: 'text/plain', body: 'x 1\n'}),
+			drain() {
+				drains++;
+			},
+		});
+		await listener.start();
+		const ask = async (path: string, method = 'GET') => {
+			const response = await fetch(`http://127.0.0.1:${listener.port}${path}`, {method});
+			return {status: response.status, body: await response.text()};
+		};
+
+		const ready = await ask('/ready');
+		expect(ready.status).toBe(503);
+		expect(ready.body).toContain('no configuration yet');
+		expect(await ask('/live')).toMatchObject({status: 200});
+		expect(await ask('/status')).toEqual({status: 200, body: '{"version":4}\n'});
+		expect(await ask('/metrics')).toEqual({status: 200, body: 'x 1\n'});
+		expect(await ask('/drain')).toMatchObject({status: 404});
+		expect(await ask('/drain', 'POST')).toMatchObject({status: 202});
+		expect(await ask('/constructor')).toMatchObject({status: 404});
+		expect(drains).toBe(1);
+		await listener.stop();
+	});
+});
--- /dev/null
+++ b/packages/observability/src/logger.ts
@@ -0,0 +1,52 @@
+/**
+ * Logs through winston, as JSON or text. Lines are written for changes of state only; everything
+ * that happens for each request is a counter or a span. Fields whose names suggest a secret are
+ * masked as a second line of defence, since no code should log one.
+ */
+import {createLogger as createWinstonLogger, format, transports, type Logger} from 'winston';
+import type TransportStream from 'winston-transport';
+
+export const logFormats = ['text', 'json'] as const;
+export type LogFormat = (typeof logFormats)[number];
+export const logLevels = ['error', 'warn', 'info', 'debug'] as const;
+export type LogLevel = (typeof logLevels)[number];
+
+export type LoggerOptions = {
+	readonly format: LogFormat;
+	readonly level: LogLevel;
+	/** Added to every line. */
+	readonly instance?: string;
+	/** Where lines go; standard error by default. */
+	readonly transport?: TransportStream;
+};
+
+const secretName = /key|secret|token|authorization|cookie|password/i;
+
+const maskSecrets = format(info => {
+	for (const name of Object.keys(info)) {
+		if (secretName.test(name)) {
+			info[name] = '[masked]';
+		}
+	}
+
+	return info;
+});
+
+const textLine = format.printf(({timestamp, level, message, instance, ...fields}) => {
+	const details = Object.entries(fields).map(([name, value]) => `${name}=${JSON.stringify(value)}`);
+	return [timestamp, level, message, ...details].map(String).join(' ');
+});
+
+const lineFormats = {
+	text: textLine,
+	json: format.json(),
+} as const satisfies Record<LogFormat, unknown>;
+
+export function createLogger(options: LoggerOptions): Logger {
+	return createWinstonLogger({
+		level: options.level,
+		defaultMeta: options.instance === undefined ? {} : {instance: options.instance},
+		format: format.combine(maskSecrets(), format.timestamp(), lineFormats[options.format]),
+		transports: [options.transport ?? new transports.Console({stderrLevels: [...logLevels]})],
+	});
+}
--- /dev/null
+++ b/packages/observability/src/observability-error.ts
@@ -0,0 +1,6 @@
+/**
+ * Errors of the observability layer: an admin address that cannot be bound.
+ */
+import {ShallotpondError} from '@shallotpond/kernel/shallotpond-error';
+
+export class ObservabilityError extends ShallotpondError {}
--- /dev/null
+++ b/packages/observability/src/tracing.ts
@@ -0,0 +1,135 @@
+/**
+ * OpenTelemetry traces with a span for each hop of a request: at the caller's side, in admission,
+ * in the queue and for each attempt at a target. W3C `traceparent` comes in and goes out; spans
+ * are exported over OTLP/HTTP when an endpoint is set.
+ */
+import {
+	ROOT_CONTEXT,
+	SpanKind,
+	SpanStatusCode,
+	trace,
+	type Context,
+	type Span,
+} from '@opentelemetry/api';
+import {OTLPTraceExporter} from '@opentelemetry/exporter-trace-otlp-http';
+import {resourceFromAttributes} from '@opentelemetry/resources';
+import {
+	BatchSpanProcessor,
+	ParentBasedSampler,
+	TraceIdRatioBasedSampler,
+	BasicTracerProvider,
+	type SpanProcessor,
+} from '@opentelemetry/sdk-trace-base';
+
+export type TracingOptions = {
+	/** URL of an OTLP/HTTP collector, for example `http://127.0.0.1:4318/v1/traces`. */
+	readonly endpoint?: string;
+	/** Part of the traces that start here which are recorded, 0 to 1. */
+	readonly sampleRatio: number;
+	readonly instance: string;
+	/** Replaces the exporter in tests. */
+	readonly processor?: SpanProcessor;
+};
+
+export type HopOptions = {
+	readonly name: string;
+	readonly kind?: 'server' | 'client' | 'internal';
+	/** Value of a `traceparent` header, of which malformed ones are ignored. */
+	readonly traceparent?: string | undefined;
+	readonly parent?: Hop | undefined;
+	readonly attributes?: Readonly<Record<string, string | number | boolean>>;
+};
+
+/** One span. */
+export type Hop = {
+	/** Header value to send on, with this span as the parent. */
+	readonly traceparent: string;
+	readonly context: Context;
+	annotate(attributes: Readonly<Record<string, string | number | boolean>>): void;
+	/** Ends the span, as failed when a reason is given. */
+	end(failure?: string): void;
+};
+
+export type Tracing = {
+	startHop(options: HopOptions): Hop;
+	/** Exports what is queued. */
+	stop(): Promise<void>;
+};
+
+const spanKinds = {
+	server: SpanKind.SERVER,
+	client: SpanKind.CLIENT,
+	internal: SpanKind.INTERNAL,
+} as const;
+
+const traceparentPattern = /^[\da-f]{2}-([\da-f]{32})-([\da-f]{16})-([\da-f]{2})$/;
+const zeroes = /^0+$/;
+const sampledFlag = 1;
+
+/** The context that a `traceparent` header names, or the root when it is absent or malformed. */
+export function contextFromTraceparent(traceparent: string | undefined): Context {
+	const [, traceId, spanId, flags] = traceparentPattern.exec(traceparent ?? '') ?? [];
+	const isValid =
+		traceId !== undefined &&
+		spanId !== undefined &&
+		!zeroes.test(traceId) &&
+		!zeroes.test(spanId) &&
+		!traceparent!.startsWith('ff');
+	if (!isValid) {
+		return ROOT_CONTEXT;
+	}
+
+	// eslint-disable-next-line no-bitwise -- flags are bits
+	const traceFlags = Number.parseInt(flags ?? '0', 16) & sampledFlag;
+	return trace.setSpanContext(ROOT_CONTEXT, {traceId, spanId, traceFlags, isRemote: true});
+}
+
+function createHop(span: Span, parent: Context): Hop {
+	const {traceId, spanId, traceFlags} = span.spanContext();
+	return {
+		traceparent: `00-${traceId}-${spanId}-${traceFlags.toString(16).padStart(2, '0')}`,
+		context: trace.setSpan(parent, span),
+		annotate(attributes) {
+			span.setAttributes(attributes);
+		},
+		end(failure) {
+			if (failure !== undefined) {
+				span.setStatus({code: SpanStatusCode.ERROR, message: failure});
+			}
+
+			span.end();
+		},
+	};
+}
+
+export function createTracing(options: TracingOptions): Tracing {
+	const processors: SpanProcessor[] = [];
+	if (options.processor !== undefined) {
+		processors.push(options.processor);
+	} else if (options.endpoint !== undefined) {
+		processors.push(new BatchSpanProcessor(new OTLPTraceExporter({url: options.endpoint})));
+	}
+
+	const provider = new BasicTracerProvider({
+		/* eslint-disable @typescript-eslint/naming-convention -- names of OpenTelemetry's conventions */
+		resource: resourceFromAttributes({
+			'service.name': 'shallotpond',
+			'service.instance.id': options.instance,
+		}),
+		/* eslint-enable @typescript-eslint/naming-convention */
+		sampler: new ParentBasedSampler({root: new TraceIdRatioBasedSampler(options.sampleRatio)}),
+		spanProcessors: processors,
+	});
+	const tracer = provider.getTracer('shallotpond');
+
+	return {
+		startHop({name, kind = 'internal', traceparent, parent, attributes = {}}) {
+			const context = parent?.context ?? contextFromTraceparent(traceparent);
+			return createHop(
+				tracer.startSpan(name, {kind: spanKinds[kind], attributes}, context),
+				context,
+			);
+		},
+		stop: async () => provider.shutdown(),
+	};
+}
