--- /dev/null
+++ b/packages/policy-dispatch/src/coordinated-target.ts
@@ -0,0 +1,140 @@
+/**
+ * What a coordinator knows of one target: its open grants, warm-up and connections.
+ */
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {createConnectionBudget, type ConnectionBudget} from './connection-budget.js';
+import {
+	clockDrift,
+	grantTerm,
+	type DispatchService,
+	type DispatchTarget,
+	type TargetAvailability,
+} from './dispatch-service.js';
+import {type Holding, type SlotGrantMessage} from './slot-messages.js';
+import {createWarmUp, type WarmUp} from './warm-up.js';
+
+export type OpenGrant = {
+	readonly grant: string;
+	readonly holder: InstanceId;
+	readonly workspace: string;
+	readonly warmSlots: number;
+	readonly keepConnection: boolean;
+	/** Milliseconds of slot time charged at dispatch; 0 for grants of a predecessor. */
+	readonly estimate: number;
+	/** Absent for grants of a predecessor. */
+	readonly answer?: SlotGrantMessage;
+	/** Monotonic milliseconds. */
+	expiresAt: number;
+};
+
+export type CoordinatedTarget = {
+	readonly definition: DispatchTarget;
+	readonly service: string;
+	/** In order of issue or adoption, on which the cap on renewals relies. */
+	readonly grants: Map<string, OpenGrant>;
+	readonly warmUp: WarmUp;
+	readonly connections: ConnectionBudget;
+	/** No new grants before: another shard may have granted slots of a target that was moved. */
+	readonly notBefore: number;
+	/** Generations seen, the latest last. */
+	generations: string[];
+	availability: TargetAvailability;
+	/** Adds or extends a grant; the term starts now. */
+	hold(grant: Omit<OpenGrant, 'expiresAt'>, now: number): void;
+	/** Ends the grants whose term is over. Linear in the slots of the target. */
+	expire(now: number): OpenGrant[];
+	/**
+	 * Renews a grant, or adopts one that a predecessor issued, within the first `cap` of the open
+	 * grants. The order never changes, so the grants beyond a cap that fell run out within a term.
+	 */
+	renew(holding: Holding, holder: InstanceId, cap: number, now: number): boolean;
+};
+
+export type CoordinatedTargetOptions = {
+	readonly service: string;
+	readonly definition: DispatchTarget;
+	readonly settings: DispatchService;
+	readonly notBefore: number;
+	readonly connectionLimit: (now: number) => number;
+	readonly connectionsUnknownUntil: number;
+};
+
+/** The coordinator counts the term from its answer, and longer than the holder does. */
+const countedTerm = grantTerm * (1 + 2 * clockDrift);
+
+export function createCoordinatedTarget(
+	options: CoordinatedTargetOptions,
+	now: number,
+): CoordinatedTarget {
+	const {service, definition, settings, notBefore} = options;
+	const grants = new Map<string, OpenGrant>();
+	const warmUp = createWarmUp(settings, now);
+	const connections = createConnectionBudget({
+		limit: options.connectionLimit,
+		slots: settings.slots,
+		unknownUntil: options.connectionsUnknownUntil,
+	});
+
+	function hold(grant: Omit<OpenGrant, 'expiresAt'>, time: number): void {
+		grants.set(grant.grant, {...grant, expiresAt: time + countedTerm});
+	}
+
+	function isWithin(cap: number, grant: string): boolean {
+		let rank = 0;
+		for (const id of grants.keys()) {
+			if (rank >= cap) {
+				return false;
+			}
+
+			if (id === grant) {
+				return true;
+			}
+
+			rank++;
+		}
+
+		return false;
+	}
+
+	return {
+		definition,
+		service,
+		grants,
+		warmUp,
+		connections,
+		notBefore,
+		generations: [],
+		availability: 'available',
+		hold,
+		expire(time) {
+			const ended: OpenGrant[] = [];
+			for (const open of grants.values()) {
+				if (open.expiresAt <= time) {
+					grants.delete(open.grant);
+					ended.push(open);
+				}
+			}
+
+			return ended;
+		},
+		renew(holding, holder, cap, time) {
+			const open = grants.get(holding.grant);
+			if (open !== undefined) {
+				if (open.holder !== holder || !isWithin(cap, holding.grant)) {
+					return false;
+				}
+
+				open.expiresAt = time + countedTerm;
+				return true;
+			}
+
+			if (grants.size >= cap) {
+				return false;
+			}
+
+			const {grant, workspace, warmSlots} = holding;
+			hold({grant, holder, workspace, warmSlots, keepConnection: false, estimate: 0}, time);
+			return true;
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy-dispatch/src/fair-queue.ts
@@ -0,0 +1,194 @@
+/**
+ * Start-time weighted fair queueing over workspaces. What is shared is slot time: a workspace pays
+ * an estimate when its request is dispatched, and the difference to the actual time at release.
+ * Each operation costs O(log n) in the workspaces that wait, or in the entries for deadlines.
+ */
+import {createBinaryHeap, type HeapItem} from './binary-heap.js';
+
+export type QueueEntry = {
+	readonly id: string;
+	readonly workspace: string;
+	/** Monotonic milliseconds. */
+	readonly deadline: number;
+};
+
+export type FairQueueOptions = {
+	/** Share of a workspace against others; positive. */
+	readonly weightOf: (workspace: string) => number;
+	/** Entries of one workspace. */
+	readonly workspaceLimit: number;
+	/** Entries of all workspaces. */
+	readonly totalLimit: number;
+};
+
+export type FairQueue<Entry extends QueueEntry> = {
+	readonly size: number;
+	/** False when a limit is reached; the entry is then not queued. */
+	add(entry: Entry): boolean;
+	get(id: string): Entry | undefined;
+	/** Removes an entry by id, for example because its caller went away. */
+	remove(id: string): Entry | undefined;
+	/** Changes when an entry expires; does nothing when it is not queued. */
+	postpone(id: string, deadline: number): void;
+	/**
+	 * About how many entries are served before a new one of this workspace: each workspace that
+	 * waits gets its turn as often as this one.
+	 */
+	entriesAhead(workspace: string): number;
+	/** Removes and returns the entries whose deadline has passed. */
+	removeExpired(now: number): Entry[];
+	/**
+	 * Removes and returns the next entry for which `accept` returns true and charges its workspace
+	 * `estimate` milliseconds of slot time. Looks at the first entry of a few workspaces only.
+	 */
+	take(accept: (entry: Entry) => boolean, estimate: number): Entry | undefined;
+	/** Corrects the charge of a workspace by `difference` milliseconds of slot time. */
+	correct(workspace: string, difference: number): void;
+	/** Removes and returns everything. */
+	clear(): Entry[];
+};
+
+/** Workspaces looked at in one `take`. The first entry of each may exclude the free targets. */
+const longestSearch = 8;
+
+type Waiting<Entry> = {readonly entry: Entry; readonly flow: Flow<Entry>} & HeapItem;
+
+/** The key of a flow is its start tag in virtual time. */
+type Flow<Entry> = {
+	readonly workspace: string;
+	/** In order of arrival. A map, because removal from the middle must not cost O(n). */
+	readonly waiting: Map<string, Waiting<Entry>>;
+} & HeapItem;
+
+export function createFairQueue<Entry extends QueueEntry>(
+	options: FairQueueOptions,
+): FairQueue<Entry> {
+	const flows = new Map<string, Flow<Entry>>();
+	const backlogged = createBinaryHeap<Flow<Entry>>();
+	const deadlines = createBinaryHeap<Waiting<Entry>>();
+	const entries = new Map<string, Waiting<Entry>>();
+	let virtualTime = 0;
+
+	function flowOf(workspace: string): Flow<Entry> {
+		let flow = flows.get(workspace);
+		if (flow === undefined) {
+			flow = {workspace, waiting: new Map(), key: virtualTime, position: -1};
+			flows.set(workspace, flow);
+		}
+
+		return flow;
+	}
+
+	/** A flow without entries is forgotten once virtual time has caught up with its tag. */
+	function forgetIfIdle(flow: Flow<Entry>): void {
+		if (flow.waiting.size === 0 && flow.key <= virtualTime) {
+			flows.delete(flow.workspace);
+		}
+	}
+
+	function drop(waiting: Waiting<Entry>): Entry {
+		const {entry, flow} = waiting;
+		entries.delete(entry.id);
+		flow.waiting.delete(entry.id);
+		deadlines.remove(waiting);
+		if (flow.waiting.size === 0) {
+			backlogged.remove(flow);
+			forgetIfIdle(flow);
+		}
+
+		return entry;
+	}
+
+	function charge(flow: Flow<Entry>, slotTime: number): void {
+		flow.key += slotTime / options.weightOf(flow.workspace);
+		if (flow.position >= 0) {
+			backlogged.update(flow);
+		}
+	}
+
+	function firstOf(flow: Flow<Entry>): Waiting<Entry> {
+		const [first] = flow.waiting.values();
+		return first!;
+	}
+
+	return {
+		get size() {
+			return entries.size;
+		},
+		add(entry) {
+			const flow = flowOf(entry.workspace);
+			if (entries.size >= options.totalLimit || flow.waiting.size >= options.workspaceLimit) {
+				forgetIfIdle(flow);
+				return false;
+			}
+
+			const waiting = {entry, flow, key: entry.deadline, position: -1};
+			flow.waiting.set(entry.id, waiting);
+			entries.set(entry.id, waiting);
+			deadlines.push(waiting);
+			if (flow.position < 0) {
+				// An idle workspace saves up nothing: it starts at the current virtual time.
+				flow.key = Math.max(flow.key, virtualTime);
+				backlogged.push(flow);
+			}
+
+			return true;
+		},
+		get: id => entries.get(id)?.entry,
+		remove(id) {
+			const waiting = entries.get(id);
+			return waiting && drop(waiting);
+		},
+		postpone(id, deadline) {
+			const waiting = entries.get(id);
+			if (waiting) {
+				waiting.key = deadline;
+				deadlines.update(waiting);
+			}
+		},
+		entriesAhead(workspace) {
+			const own = flows.get(workspace)?.waiting.size ?? 0;
+			return Math.min(entries.size, (own + 1) * backlogged.size);
+		},
+		removeExpired(now) {
+			const expired: Entry[] = [];
+			for (let first = deadlines.peek(); first && first.key <= now; first = deadlines.peek()) {
+				expired.push(drop(first));
+			}
+
+			return expired;
+		},
+		take(accept, estimate) {
+			const passed: Array<Flow<Entry>> = [];
+			let taken: Entry | undefined;
+			for (let flow = backlogged.peek(); flow && passed.length < longestSearch;) {
+				const first = firstOf(flow);
+				if (accept(first.entry)) {
+					virtualTime = Math.max(virtualTime, flow.key);
+					taken = first.entry;
+					charge(flow, estimate);
+					drop(first);
+					break;
+				}
+
+				backlogged.remove(flow);
+				passed.push(flow);
+				flow = backlogged.peek();
+			}
+
+			for (const flow of passed) {
+				backlogged.push(flow);
+			}
+
+			return taken;
+		},
+		correct(workspace, difference) {
+			const flow = flowOf(workspace);
+			charge(flow, difference);
+			forgetIfIdle(flow);
+		},
+		clear() {
+			return [...entries.values()].map(waiting => drop(waiting));
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy-dispatch/src/slot-coordinator.ts
@@ -0,0 +1,821 @@
+/**
+ * Grants the slots of targets to holders on all instances. One object per instance covers every
+ * shard of which this instance has been lent a part. It keeps to that part at each use: new grants
+ * need the fraction that has been lent for a whole term, renewals the present one, and a process
+ * that wakes late finds its fraction gone and grants nothing.
+ */
+import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {type Random} from '@shallotpond/kernel/random';
+import {slotAuthority} from '@shallotpond/policy-membership/authority';
+import {type OwnerLookup, type ShareSource} from '@shallotpond/policy-membership/share-fraction';
+import {createAnsweredIds} from './answered-ids.js';
+import {connectionIdle} from './connection-budget.js';
+import {
+	allowedSlots,
+	chooseTarget,
+	floorTargets,
+	hasFreeSlot,
+	isUsable,
+	usableSlots,
+	type CoordinatedShard,
+	type TargetChoiceOptions,
+	type WaitingAsk,
+} from './coordinated-shard.js';
+import {
+	createCoordinatedTarget,
+	type CoordinatedTarget,
+	type OpenGrant,
+} from './coordinated-target.js';
+import {
+	grantTerm,
+	type AvailabilityLookup,
+	type DispatchService,
+	type DispatchServices,
+	type DispatchTarget,
+} from './dispatch-service.js';
+import {keepsFloor, mayEject} from './ejection-floor.js';
+import {createFairQueue} from './fair-queue.js';
+import {createShardMap, shardResource, type ShardMap} from './shard-map.js';
+import {
+	type CoordinatorMessage,
+	type Holding,
+	type RefusalReason,
+	type SlotAsk,
+	type SlotGrantMessage,
+	type SlotMessage,
+	type SlotRefusal,
+	type SlotRelease,
+} from './slot-messages.js';
+import {
+	createTargetHealth,
+	evaluationInterval,
+	type HealthChange,
+	type TargetHealth,
+} from './target-health.js';
+
+export type SlotCoordinatorOptions = {
+	readonly self: InstanceId;
+	readonly fraction: ShareSource;
+	readonly availability: AvailabilityLookup;
+	readonly random: Random;
+	/** Weight of a workspace in the fair queue; 1 by default. */
+	readonly weightOf?: (workspace: string) => number;
+	/** Waiting requests of one workspace at one shard. */
+	readonly workspaceQueueLimit?: number;
+	/** Waiting requests at one shard. */
+	readonly queueLimit?: number;
+	/**
+	 * Milliseconds in which a configuration spreads over the fleet. A target that changed its shard
+	 * gets no new grants for this time and one term, in which its former coordinator may still act.
+	 */
+	readonly configurationSpread?: number;
+	/** Told of each change of a target's health, for logs and metrics. */
+	readonly onHealthChange?: (service: string, change: HealthChange) => void;
+};
+
+export type SlotCoordinator = {
+	/** Adopts service definitions. Open grants and the warmth of unchanged targets stay. */
+	configure(services: DispatchServices, now: number): void;
+	/** Handles a message of a holder or of a predecessor and returns what to send. */
+	handle(message: CoordinatorMessage, from: InstanceId, now: number): Array<Outbound<SlotMessage>>;
+	/** Ends terms and deadlines, judges targets, dispatches. Call it about every 100 ms. */
+	tick(now: number): Array<Outbound<SlotMessage>>;
+	/**
+	 * Planned stop: refuses what waits, hands the open grants of each shard to its successor, and
+	 * grants and renews nothing from then on. The successor must get these messages before it
+	 * counts the predecessor's lenders as vested.
+	 */
+	export(successorOf: OwnerLookup, now: number): Array<Outbound<SlotMessage>>;
+	/** Open grants on a target, for metrics and tests. */
+	openGrants(service: string, target: string): number;
+	healthOf(service: string, target: string): ReturnType<TargetHealth['stateOf']>;
+	/** Slots that the target is allowed by its warm-up, or undefined while not coordinated. */
+	allowedSlotsOf(service: string, target: string): number | undefined;
+};
+
+type CoordinatedService = {
+	readonly name: string;
+	settings: DispatchService;
+	map: ShardMap;
+	/** When a target came into its present shard; absent for the first configuration. */
+	movedAt: Map<string, number>;
+	readonly health: TargetHealth;
+	readonly choice: TargetChoiceOptions;
+	readonly shards: Map<number, CoordinatedShard>;
+};
+
+type Context = {readonly from: InstanceId; readonly now: number};
+type Outbox = Array<Outbound<SlotMessage>>;
+
+/** Milliseconds without a repetition after which a waiting ask is dropped: its holder is gone. */
+const askSilence = 2500;
+/** Milliseconds without any part of a shard after which its state is out of date. */
+const shardMemory = 10_000;
+/** Ids are remembered for two terms, longer than any message of a live exchange is delayed. */
+const idMemory = 2 * grantTerm;
+const initialSlotTime = 100;
+/** Weight of one request in the moving average of slot time. */
+const slotTimeWeight = 0.05;
+/** Part of the queue that stays open while the service is overloaded. */
+const overloadedQueuePart = 0.25;
+/** Generations remembered, so that late answers of an earlier process restart no warm-up. */
+const rememberedGenerations = 4;
+
+const retryAfterBy: Readonly<Record<RefusalReason, number>> = {
+	'no-capacity': 250,
+	'queue-full': 500,
+	deadline: 500,
+	'not-coordinator': 100,
+	'service-unhealthy': 1000,
+};
+
+export function createSlotCoordinator(options: SlotCoordinatorOptions): SlotCoordinator {
+	const {self, fraction, availability, random, weightOf = () => 1} = options;
+	const {workspaceQueueLimit = 256, queueLimit = 1024, configurationSpread = 3000} = options;
+	const services = new Map<string, CoordinatedService>();
+	const grantsByAsk = new Map<string, OpenGrant>();
+	const settledAsks = createAnsweredIds<SlotRefusal | undefined>(idMemory);
+	const endedGrants = createAnsweredIds<undefined>(idMemory);
+	const successors = new Map<string, InstanceId | undefined>();
+	let isStopped = false;
+	let nextGrant = 0;
+	let lastEvaluation = Number.NEGATIVE_INFINITY;
+	let evaluatedAt = 0;
+
+	/** Targets that left the configuration keep their open grants but count as leaving. */
+	function currentAvailability(service: string, target: DispatchTarget) {
+		const isConfigured = services.get(service)?.map.shardOf(target.id) !== undefined;
+		return isConfigured ? availability(service, target) : 'leaving';
+	}
+
+	function createService(name: string, settings: DispatchService): CoordinatedService {
+		const shards = new Map<number, CoordinatedShard>();
+		const health = createTargetHealth({
+			mayEject(target) {
+				const shard = shards.get(services.get(name)?.map.shardOf(target) ?? -1);
+				return (
+					shard !== undefined &&
+					mayEject(target, floorTargets(shard, choice, evaluatedAt), shard.settings.floor)
+				);
+			},
+		});
+		const choice = {random, availability: currentAvailability, health};
+		const map = createShardMap(settings);
+		return {name, settings, map, movedAt: new Map(), health, choice, shards};
+	}
+
+	function createTarget(
+		service: CoordinatedService,
+		definition: DispatchTarget,
+		resource: string,
+		now: number,
+	): CoordinatedTarget {
+		const {settings, movedAt, name} = service;
+		const moved = movedAt.get(definition.id);
+		const isMoving = moved !== undefined;
+		return createCoordinatedTarget(
+			{
+				service: name,
+				definition,
+				settings,
+				notBefore: isMoving ? moved + configurationSpread + 2 * grantTerm : 0,
+				// One less than the target bears, because the connections must stay under the limit.
+				connectionLimit: time =>
+					slotAuthority(Math.max(1, settings.connections - 1), fraction(resource, time).vested),
+				connectionsUnknownUntil: now + connectionIdle,
+			},
+			now,
+		);
+	}
+
+	function shardOf(service: CoordinatedService, number: number, now: number): CoordinatedShard {
+		let shard = service.shards.get(number);
+		if (shard === undefined) {
+			const resource = shardResource(service.name, number);
+			shard = {
+				service: service.name,
+				number,
+				resource,
+				queue: createFairQueue<WaitingAsk>({
+					weightOf,
+					workspaceLimit: workspaceQueueLimit,
+					totalLimit: queueLimit,
+				}),
+				targets: new Map(),
+				createdAt: now,
+				lastLent: now,
+				meanSlotTime: initialSlotTime,
+				settings: service.settings,
+			};
+			for (const definition of service.map.shards[number] ?? []) {
+				shard.targets.set(definition.id, createTarget(service, definition, resource, now));
+			}
+
+			service.shards.set(number, shard);
+		}
+
+		return shard;
+	}
+
+	/** The shard, if this instance has been lent a part of it. */
+	function lentShard(name: string, number: number, now: number): CoordinatedShard | undefined {
+		const service = services.get(name);
+		const isLent = fraction(shardResource(name, number), now).current > 0;
+		if (service === undefined || isStopped || !isLent || !service.map.shards[number]) {
+			return undefined;
+		}
+
+		const shard = shardOf(service, number, now);
+		shard.lastLent = now;
+		return shard;
+	}
+
+	function refuse(
+		ask: SlotAsk,
+		to: InstanceId,
+		reason: RefusalReason,
+		queueLength: number,
+		now: number,
+	): Outbound<SlotMessage> {
+		const message: SlotRefusal = {
+			kind: 'slot-refusal',
+			id: ask.id,
+			reason,
+			retryAfter: retryAfterBy[reason],
+			runState: 'not-run',
+			queueLength,
+		};
+		settledAsks.add(ask.id, message, now);
+		return {to, message};
+	}
+
+	function issue(
+		shard: CoordinatedShard,
+		target: CoordinatedTarget,
+		{ask, holder}: WaitingAsk,
+		now: number,
+	): Outbound<SlotMessage> {
+		const keepConnection = target.connections.take(holder, target.grants.size, now);
+		const grant = `${self}/${nextGrant++}`;
+		const warmSlots = target.warmUp.allowed;
+		const answer: SlotGrantMessage = {
+			kind: 'slot-grant',
+			id: ask.id,
+			attempt: ask.attempt,
+			grant,
+			target: target.definition.id,
+			term: grantTerm,
+			warmSlots,
+			keepConnection,
+			queueLength: shard.queue.size,
+		};
+		const {workspace} = ask;
+		const estimate = shard.meanSlotTime;
+		target.hold({grant, holder, workspace, warmSlots, keepConnection, estimate, answer}, now);
+		grantsByAsk.set(ask.id, target.grants.get(grant)!);
+		return {to: holder, message: answer};
+	}
+
+	/** Refuses what has waited too long, then grants what can be granted. */
+	function pump(service: CoordinatedService, shard: CoordinatedShard, now: number): Outbox {
+		const outbox: Outbox = [];
+		for (const {ask, holder, deadline} of shard.queue.removeExpired(now)) {
+			// Without a repetition the holder is gone or unreachable, and a later one queues again.
+			if (deadline <= now) {
+				outbox.push(refuse(ask, holder, 'deadline', shard.queue.size, now));
+			}
+		}
+
+		if (isStopped) {
+			return outbox;
+		}
+
+		const {vested} = fraction(shard.resource, now);
+		while (
+			shard.queue.size > 0 &&
+			[...shard.targets.values()].some(target => hasFreeSlot(target, shard, vested, service.health))
+		) {
+			let chosen: CoordinatedTarget | undefined;
+			const taken = shard.queue.take(waiting => {
+				chosen = chooseTarget(shard, waiting, vested, service.choice, now);
+				return chosen !== undefined;
+			}, shard.meanSlotTime);
+			if (taken === undefined || chosen === undefined) {
+				break;
+			}
+
+			outbox.push(issue(shard, chosen, taken, now));
+		}
+
+		return outbox;
+	}
+
+	/** The reason to refuse an ask before it is queued, or undefined. */
+	function refusalOf(
+		service: CoordinatedService,
+		shard: CoordinatedShard,
+		ask: SlotAsk,
+		now: number,
+	): RefusalReason | undefined {
+		const usable = [...shard.targets.values()].filter(target =>
+			isUsable(target, service.choice, now),
+		);
+		if (usable.length === 0) {
+			return 'service-unhealthy';
+		}
+
+		if (usable.every(target => ask.excludeTargets.includes(target.definition.id))) {
+			return 'no-capacity';
+		}
+
+		if (service.health.isOverloaded && shard.queue.size >= queueLimit * overloadedQueuePart) {
+			return 'service-unhealthy';
+		}
+
+		const slots = usableSlots(shard, fraction(shard.resource, now).vested, service.choice, now);
+		const wait =
+			(shard.queue.entriesAhead(ask.workspace) * shard.meanSlotTime) / Math.max(1, slots);
+		return ask.timeLeft <= 0 || (slots > 0 && wait > ask.timeLeft) ? 'deadline' : undefined;
+	}
+
+	function queueAsk(
+		shard: CoordinatedShard,
+		ask: SlotAsk,
+		holder: InstanceId,
+		now: number,
+	): boolean {
+		const deadline = now + ask.timeLeft;
+		const isQueued = shard.queue.add({
+			id: ask.id,
+			workspace: ask.workspace,
+			deadline,
+			ask,
+			holder,
+		});
+		shard.queue.postpone(ask.id, Math.min(deadline, now + askSilence));
+		return isQueued;
+	}
+
+	function repeatAsk(
+		shard: CoordinatedShard,
+		waiting: WaitingAsk,
+		ask: SlotAsk,
+		now: number,
+	): Outbox {
+		if (ask.attempt > waiting.ask.attempt) {
+			waiting.ask = ask;
+			shard.queue.postpone(ask.id, Math.min(waiting.deadline, now + askSilence));
+		}
+
+		return [queuedAnswer(shard, ask.id, waiting.holder)];
+	}
+
+	function queuedAnswer(
+		shard: CoordinatedShard,
+		id: string,
+		to: InstanceId,
+	): Outbound<SlotMessage> {
+		return {to, message: {kind: 'slot-queued', id, queueLength: shard.queue.size}};
+	}
+
+	function handleNewAsk(ask: SlotAsk, {from, now}: Context): Outbox {
+		const service = services.get(ask.service);
+		const shard = lentShard(ask.service, ask.shard, now);
+		if (service === undefined || shard === undefined) {
+			return [refuse(ask, from, 'not-coordinator', 0, now)];
+		}
+
+		const waiting = shard.queue.get(ask.id);
+		if (waiting !== undefined) {
+			return repeatAsk(shard, waiting, ask, now);
+		}
+
+		const reason = refusalOf(service, shard, ask, now);
+		if (reason !== undefined) {
+			return [refuse(ask, from, reason, shard.queue.size, now)];
+		}
+
+		if (!queueAsk(shard, ask, from, now)) {
+			return [refuse(ask, from, 'queue-full', shard.queue.size, now)];
+		}
+
+		const outbox = pump(service, shard, now);
+		if (shard.queue.get(ask.id) !== undefined) {
+			outbox.push(queuedAnswer(shard, ask.id, from));
+		}
+
+		return outbox;
+	}
+
+	/** Returns false for an answer of an earlier process of the target. */
+	function noteGeneration(
+		{health}: CoordinatedService,
+		target: CoordinatedTarget,
+		generation: string | undefined,
+		now: number,
+	): boolean {
+		const {generations} = target;
+		if (generation === undefined || generation === generations.at(-1)) {
+			return true;
+		}
+
+		if (generations.includes(generation)) {
+			return false;
+		}
+
+		const isRestart = generations.length > 0;
+		target.generations = [...generations.slice(1 - rememberedGenerations), generation];
+		if (isRestart) {
+			target.warmUp.restart(now);
+			health.clearSamples(target.definition.id);
+		}
+
+		return true;
+	}
+
+	function recordOutcome(
+		service: CoordinatedService,
+		shard: CoordinatedShard,
+		target: CoordinatedTarget,
+		{outcome, holder}: SlotRelease,
+		now: number,
+	): void {
+		if (!outcome || !noteGeneration(service, target, outcome.generation, now)) {
+			return;
+		}
+
+		shard.meanSlotTime += (outcome.slotTime - shard.meanSlotTime) * slotTimeWeight;
+		service.health.record(target.definition.id, holder, outcome, now);
+		if (outcome.result === 'ok') {
+			target.warmUp.countGood(now);
+		}
+	}
+
+	function endGrant(
+		shard: CoordinatedShard,
+		target: CoordinatedTarget,
+		open: OpenGrant,
+		slotTime: number,
+		now: number,
+	): void {
+		target.grants.delete(open.grant);
+		shard.queue.correct(open.workspace, slotTime - open.estimate);
+		if (open.keepConnection) {
+			target.connections.keep(open.holder, now);
+		}
+
+		if (open.answer !== undefined) {
+			grantsByAsk.delete(open.answer.id);
+			settledAsks.add(open.answer.id, undefined, now);
+		}
+	}
+
+	/** Finds the target among all shards of this instance; also one that left the configuration. */
+	function findTarget(name: string, id: string) {
+		const service = services.get(name);
+		const number = service?.map.shardOf(id);
+		const preferred = number === undefined ? undefined : service?.shards.get(number);
+		// Only a target that moved or left is searched for, in the few shards that this instance has.
+		const shards = preferred ? [preferred] : [...(service?.shards.values() ?? [])];
+		for (const shard of shards) {
+			const target = shard.targets.get(id);
+			if (service && target) {
+				return {service, shard, target};
+			}
+		}
+
+		return undefined;
+	}
+
+	function handleRelease(message: SlotRelease, {now}: Context): Outbox {
+		const number = services.get(message.service)?.map.shardOf(message.target) ?? -1;
+		const successor = successors.get(shardResource(message.service, number));
+		const forwarded: Outbox = successor === undefined ? [] : [{to: successor, message}];
+		const found = findTarget(message.service, message.target);
+		if (found === undefined || endedGrants.has(message.grant, now)) {
+			return forwarded;
+		}
+
+		const {service, shard, target} = found;
+		const open = target.grants.get(message.grant);
+		if (open !== undefined && open.holder !== message.holder) {
+			return [];
+		}
+
+		recordOutcome(service, shard, target, message, now);
+		// A renewal that arrives after the release must not bring the grant back.
+		endedGrants.add(message.grant, undefined, now);
+		if (open !== undefined) {
+			endGrant(shard, target, open, message.outcome?.slotTime ?? 0, now);
+		}
+
+		return [...forwarded, ...pump(service, shard, now)];
+	}
+
+	function renew(holding: Holding, holder: InstanceId, now: number): boolean {
+		const service = services.get(holding.service);
+		const known = findTarget(holding.service, holding.target);
+		const number = known?.shard.number ?? service?.map.shardOf(holding.target);
+		const shard = number === undefined ? undefined : lentShard(holding.service, number, now);
+		const target = shard?.targets.get(holding.target);
+		if (!shard || !target || endedGrants.has(holding.grant, now)) {
+			return false;
+		}
+
+		const cap = slotAuthority(shard.settings.slots, fraction(shard.resource, now).current);
+		const isAdopted = !target.grants.has(holding.grant);
+		const isRenewed = target.renew(holding, holder, cap, now);
+		if (isRenewed && isAdopted && now - shard.createdAt <= 2 * grantTerm) {
+			// The request still runs, so the target is the process that its predecessor warmed up.
+			target.warmUp.raise(holding.warmSlots, now);
+		}
+
+		return isRenewed;
+	}
+
+	const handlers: Handlers<CoordinatorMessage, Context, Outbox> = {
+		'slot-ask'(ask, context) {
+			const {from, now} = context;
+			const open = grantsByAsk.get(ask.id);
+			if (open?.answer !== undefined) {
+				return open.holder === from ? [{to: from, message: open.answer}] : [];
+			}
+
+			if (settledAsks.has(ask.id, now)) {
+				const answer = settledAsks.get(ask.id, now);
+				return answer === undefined ? [] : [{to: from, message: answer}];
+			}
+
+			return handleNewAsk(ask, context);
+		},
+		'slot-release': handleRelease,
+		'slot-cancel'({id, service: name, shard: number}, {from, now}) {
+			const service = services.get(name);
+			const shard = service?.shards.get(number);
+			const open = grantsByAsk.get(id);
+			settledAsks.add(id, undefined, now);
+			if (!service || !shard || (open && open.holder !== from)) {
+				return [];
+			}
+
+			shard.queue.remove(id);
+			const target = shard.targets.get(open?.answer?.target ?? '');
+			if (open && target) {
+				endedGrants.add(open.grant, undefined, now);
+				endGrant(shard, target, open, 0, now);
+			}
+
+			return pump(service, shard, now);
+		},
+		'slot-renew'({sequence, holdings}, {from, now}) {
+			const renewed: string[] = [];
+			const refused: string[] = [];
+			for (const holding of holdings) {
+				(renew(holding, from, now) ? renewed : refused).push(holding.grant);
+			}
+
+			return [{to: from, message: {kind: 'slot-renewed', sequence, renewed, refused}}];
+		},
+		'slot-handover'({service: name, shard: number, grants, targets}, {now}) {
+			const service = services.get(name);
+			if (!service?.map.shards[number] || isStopped) {
+				return [];
+			}
+
+			const shard = shardOf(service, number, now);
+			for (const {target: id, warmSlots, generation, ejectedFor} of targets) {
+				const target = shard.targets.get(id);
+				target?.warmUp.raise(warmSlots, now);
+				if (target?.generations.length === 0 && generation !== undefined) {
+					target.generations = [generation];
+				}
+
+				if (target && ejectedFor !== undefined) {
+					service.health.adoptEjection(id, ejectedFor, now);
+				}
+			}
+
+			for (const {target: id, grant, holder, workspace, warmSlots} of grants) {
+				const target = shard.targets.get(id);
+				if (target && !target.grants.has(grant) && !endedGrants.has(grant, now)) {
+					target.hold(
+						{grant, holder, workspace, warmSlots, keepConnection: false, estimate: 0},
+						now,
+					);
+				}
+			}
+
+			return [];
+		},
+	};
+
+	function noteAvailability(
+		{health}: CoordinatedService,
+		shard: CoordinatedShard,
+		now: number,
+	): void {
+		for (const target of shard.targets.values()) {
+			const present = currentAvailability(target.service, target.definition);
+			if (present === 'available' && target.availability !== 'available') {
+				// Caches are cold and the process may be another one after an absence.
+				target.warmUp.restart(now);
+				health.clearSamples(target.definition.id);
+			}
+
+			target.availability = present;
+		}
+	}
+
+	function evaluateHealth(service: CoordinatedService, now: number): void {
+		for (const change of service.health.evaluate(now)) {
+			if (change.state === 'trial') {
+				findTarget(service.name, change.target)?.target.warmUp.restart(now);
+			}
+
+			options.onHealthChange?.(service.name, change);
+		}
+
+		for (const shard of service.shards.values()) {
+			restoreFloor(service, shard, now);
+		}
+	}
+
+	/** Another target may have left or turned cold since an ejection, which the floor then forbids. */
+	function restoreFloor(service: CoordinatedService, shard: CoordinatedShard, now: number): void {
+		for (const {id, isEjected} of floorTargets(shard, service.choice, now)) {
+			const targets = floorTargets(shard, service.choice, now);
+			if (keepsFloor(targets, shard.settings.floor)) {
+				return;
+			}
+
+			if (isEjected) {
+				service.health.startTrial(id);
+				shard.targets.get(id)?.warmUp.restart(now);
+			}
+		}
+	}
+
+	function tickShard(service: CoordinatedService, shard: CoordinatedShard, now: number): Outbox {
+		for (const target of shard.targets.values()) {
+			for (const open of target.expire(now)) {
+				endGrant(shard, target, open, open.estimate, now);
+			}
+
+			if (target.grants.size === 0 && service.map.shardOf(target.definition.id) !== shard.number) {
+				shard.targets.delete(target.definition.id);
+				service.health.forget(target.definition.id);
+			}
+		}
+
+		noteAvailability(service, shard, now);
+		if (fraction(shard.resource, now).current > 0) {
+			shard.lastLent = now;
+			return pump(service, shard, now);
+		}
+
+		if (now - shard.lastLent > shardMemory) {
+			service.shards.delete(shard.number);
+			for (const id of shard.targets.keys()) {
+				service.health.forget(id);
+			}
+		}
+
+		return shard.queue
+			.clear()
+			.map(({ask, holder}) => refuse(ask, holder, 'not-coordinator', 0, now));
+	}
+
+	/** Carries the open grants and the warmth over to new settings. */
+	function reconfigureShard(
+		service: CoordinatedService,
+		shard: CoordinatedShard,
+		now: number,
+	): void {
+		shard.settings = service.settings;
+		for (const definition of service.map.shards[shard.number] ?? []) {
+			const previous = shard.targets.get(definition.id);
+			const next = createTarget(service, definition, shard.resource, now);
+			if (previous) {
+				next.warmUp.raise(previous.warmUp.allowed, now);
+				next.generations = previous.generations;
+				next.availability = previous.availability;
+				for (const [id, open] of previous.grants) {
+					next.grants.set(id, open);
+				}
+			}
+
+			shard.targets.set(definition.id, next);
+		}
+	}
+
+	function reconfigure(service: CoordinatedService, settings: DispatchService, now: number): void {
+		const map = createShardMap(settings);
+		const movedAt = new Map<string, number>();
+		for (const {id} of settings.targets) {
+			const moved = map.shardOf(id) === service.map.shardOf(id) ? service.movedAt.get(id) : now;
+			if (moved !== undefined) {
+				movedAt.set(id, moved);
+			}
+		}
+
+		service.settings = settings;
+		service.map = map;
+		service.movedAt = movedAt;
+		for (const shard of service.shards.values()) {
+			reconfigureShard(service, shard, now);
+		}
+	}
+
+	function exportShard(shard: CoordinatedShard, {health}: CoordinatedService, now: number) {
+		const targets = [...shard.targets.values()];
+		return {
+			kind: 'slot-handover' as const,
+			service: shard.service,
+			shard: shard.number,
+			grants: targets.flatMap(target =>
+				[...target.grants.values()].map(({grant, holder, workspace, warmSlots}) => ({
+					grant,
+					holder,
+					workspace,
+					warmSlots,
+					service: shard.service,
+					target: target.definition.id,
+				})),
+			),
+			targets: targets.map(target => ({
+				target: target.definition.id,
+				warmSlots: target.warmUp.allowed,
+				generation: target.generations.at(-1),
+				ejectedFor: health.ejectedFor(target.definition.id, now),
+			})),
+		};
+	}
+
+	return {
+		configure(definitions, now) {
+			for (const [name, settings] of definitions) {
+				const service = services.get(name);
+				if (service) {
+					reconfigure(service, settings, now);
+				} else {
+					services.set(name, createService(name, settings));
+				}
+			}
+
+			for (const [name, service] of services) {
+				if (!definitions.has(name)) {
+					// Open grants of a removed service run out without renewal.
+					reconfigure(service, {...service.settings, targets: []}, now);
+				}
+			}
+		},
+		handle: (message, from, now) => dispatch(handlers, message, {from, now}),
+		tick(now) {
+			const isEvaluationDue = now - lastEvaluation >= evaluationInterval;
+			if (isEvaluationDue) {
+				lastEvaluation = now;
+				evaluatedAt = now;
+			}
+
+			const outbox: Outbox = [];
+			for (const service of services.values()) {
+				if (isEvaluationDue) {
+					evaluateHealth(service, now);
+				}
+
+				for (const shard of service.shards.values()) {
+					outbox.push(...tickShard(service, shard, now));
+				}
+			}
+
+			return outbox;
+		},
+		export(successorOf, now) {
+			const outbox: Outbox = [];
+			for (const service of services.values()) {
+				for (const shard of service.shards.values()) {
+					for (const {ask, holder} of shard.queue.clear()) {
+						outbox.push(refuse(ask, holder, 'not-coordinator', 0, now));
+					}
+
+					const to = successorOf(shard.resource, now);
+					successors.set(shard.resource, to);
+					if (to !== undefined) {
+						outbox.push({to, message: exportShard(shard, service, now)});
+					}
+				}
+			}
+
+			isStopped = true;
+			return outbox;
+		},
+		openGrants: (service, target) => findTarget(service, target)?.target.grants.size ?? 0,
+		healthOf: (service, target) => services.get(service)?.health.stateOf(target) ?? 'healthy',
+		allowedSlotsOf(name, id) {
+			const found = findTarget(name, id);
+			return found && allowedSlots(found.target, found.shard.settings, found.service.health);
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy-dispatch/src/slot-holder.ts
@@ -0,0 +1,529 @@
+/**
+ * The entry side of slots: asks the coordinators of a service for slots, renews the grants of
+ * requests that run, and says when a grant has run out, so that its request is cancelled. The term
+ * of a grant counts from when this instance asked, so it ends here before it ends at the
+ * coordinator. Operators of this object must call `tick` about every 100 ms.
+ */
+import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {type Random} from '@shallotpond/kernel/random';
+import {type OwnerLookup} from '@shallotpond/policy-membership/share-fraction';
+import {
+	grantTerm,
+	type AvailabilityLookup,
+	type DispatchServices,
+	type DispatchTarget,
+} from './dispatch-service.js';
+import {createPathAvoidance} from './path-avoidance.js';
+import {createShardMap, shardResource, type ShardMap} from './shard-map.js';
+import {
+	type HolderMessage,
+	type Holding,
+	type RefusalReason,
+	type SlotGrantMessage,
+	type SlotMessage,
+	type SlotOutcome,
+} from './slot-messages.js';
+
+export type SlotRequestOptions = {
+	readonly service: string;
+	readonly workspace: string;
+	/** Monotonic milliseconds. */
+	readonly deadline: number;
+	readonly excludedTargets?: readonly string[];
+	readonly avoidedFailureDomains?: readonly string[];
+};
+
+/** A grant in the hands of this instance. */
+export type HeldGrant = Holding & {
+	readonly definition: DispatchTarget;
+	/** Whether the connection may stay open after the answer, for `connectionIdle` milliseconds. */
+	readonly keepConnection: boolean;
+	/** Monotonic milliseconds; moves on with each renewal. */
+	readonly expiresAt: number;
+};
+
+export type HolderEvent =
+	| {readonly kind: 'granted'; readonly request: string; readonly grant: HeldGrant}
+	| {
+			readonly kind: 'refused';
+			readonly request: string;
+			readonly reason: RefusalReason;
+			/** Milliseconds. */
+			readonly retryAfter: number;
+			readonly runState: 'not-run';
+	  }
+	/** The request that uses the grant must be cancelled now and the grant released. */
+	| {readonly kind: 'expired'; readonly grant: HeldGrant};
+
+export type HolderStep = {
+	readonly outbound: ReadonlyArray<Outbound<SlotMessage>>;
+	readonly events: readonly HolderEvent[];
+};
+
+export type SlotHolderOptions = {
+	readonly self: InstanceId;
+	readonly ownerOf: OwnerLookup;
+	readonly availability: AvailabilityLookup;
+	readonly random: Random;
+};
+
+export type SlotHolder = {
+	configure(services: DispatchServices): void;
+	/** Asks for a slot; the answer comes as an event with the same request id. */
+	ask(
+		options: SlotRequestOptions,
+		now: number,
+	): {readonly request: string; readonly step: HolderStep};
+	/** Gives up a request that has no grant yet. A grant that arrives later is returned. */
+	cancel(request: string, now: number): HolderStep;
+	handle(message: HolderMessage, from: InstanceId, now: number): HolderStep;
+	/** Repeats asks, renews grants and ends deadlines. Linear in open requests and grants. */
+	tick(now: number): HolderStep;
+	/**
+	 * The check just before the first byte is written to the target. When it is false, the request
+	 * did not run, and the grant must be released without outcome.
+	 */
+	mayDispatch(grant: HeldGrant, isKeyValid: () => boolean, now: number): boolean;
+	/** Ends a grant. Without outcome, the grant was not used. A second call does nothing. */
+	release(grant: HeldGrant, outcome: SlotOutcome | undefined, now: number): HolderStep;
+	/** Grants in force, by the coordinator to which they are reported for renewal. */
+	holdings(now: number): ReadonlyMap<InstanceId, readonly Holding[]>;
+};
+
+/** Milliseconds between repetitions of an ask that waits. */
+const repeatInterval = 1000;
+/** Milliseconds without any answer after which another shard is asked. */
+const coordinatorSilence = 600;
+/** Milliseconds after which a request that found no coordinator looks again. */
+const retryInterval = 100;
+/** Milliseconds between renewals: three of them may be lost within a term. */
+const renewInterval = 1000;
+/** Milliseconds that a grant ends early here, for the interval of `tick` and the cancellation. */
+const cancelTime = 200;
+
+type PendingAsk = {
+	readonly id: string;
+	readonly shard: number;
+	readonly coordinator: InstanceId;
+	/** Monotonic milliseconds of each repetition, by its number. */
+	readonly sentAt: number[];
+	heardAt: number;
+};
+
+type PendingRequest = {
+	readonly id: string;
+	readonly options: SlotRequestOptions;
+	readonly refusedBy: Set<number>;
+	ask: PendingAsk | undefined;
+	/** Monotonic milliseconds before which no shard is asked. */
+	retryAt: number;
+	lastRefusal: {readonly reason: RefusalReason; readonly retryAfter: number};
+};
+
+type MutableGrant = {
+	-readonly [Key in keyof HeldGrant]: HeldGrant[Key];
+} & {
+	readonly resource: string;
+	/** All that count this grant and must learn of its release. */
+	readonly coordinators: Set<InstanceId>;
+	/** The one that granted it or renewed it last. */
+	coordinator: InstanceId;
+	refusedBy: InstanceId | undefined;
+	isExpired: boolean;
+};
+
+type Service = {readonly map: ShardMap; readonly targets: ReadonlyMap<string, DispatchTarget>};
+
+const noCoordinator = {reason: 'not-coordinator', retryAfter: 1000} as const;
+
+export function createSlotHolder(options: SlotHolderOptions): SlotHolder {
+	const {self, ownerOf, availability, random} = options;
+	const services = new Map<string, Service>();
+	const pending = new Map<string, PendingRequest>();
+	const pendingByAsk = new Map<string, PendingRequest>();
+	const held = new Map<string, MutableGrant>();
+	const queueLengths = new Map<string, number>();
+	const renewals = new Map<number, number>();
+	const paths = createPathAvoidance();
+	let nextId = 0;
+	let nextSequence = 0;
+	let lastRenewal = Number.NEGATIVE_INFINITY;
+	let outbound: Array<Outbound<SlotMessage>> = [];
+	let events: HolderEvent[] = [];
+
+	function send(to: InstanceId, message: SlotMessage): void {
+		outbound.push({to, message});
+	}
+
+	function finishStep(): HolderStep {
+		const step = {outbound, events};
+		outbound = [];
+		events = [];
+		return step;
+	}
+
+	function finish(request: PendingRequest): void {
+		pending.delete(request.id);
+		if (request.ask) {
+			pendingByAsk.delete(request.ask.id);
+		}
+	}
+
+	function refuse(request: PendingRequest, reason: RefusalReason, retryAfter: number): void {
+		finish(request);
+		events.push({kind: 'refused', request: request.id, reason, retryAfter, runState: 'not-run'});
+	}
+
+	/** Drops the ask; the coordinator may have granted it already, so it is told. */
+	function withdrawAsk(request: PendingRequest): void {
+		const {ask} = request;
+		if (ask) {
+			pendingByAsk.delete(ask.id);
+			request.ask = undefined;
+			const {service} = request.options;
+			send(ask.coordinator, {kind: 'slot-cancel', id: ask.id, service, shard: ask.shard});
+		}
+	}
+
+	function sendAsk(request: PendingRequest, ask: PendingAsk, now: number): void {
+		const {service, workspace, deadline, excludedTargets = []} = request.options;
+		const {avoidedFailureDomains = []} = request.options;
+		const attempt = ask.sentAt.push(now) - 1;
+		send(ask.coordinator, {
+			kind: 'slot-ask',
+			id: ask.id,
+			attempt,
+			service,
+			shard: ask.shard,
+			workspace,
+			timeLeft: deadline - now,
+			excludeTargets: [...excludedTargets, ...paths.avoided(service, now)],
+			avoidFailureDomains: avoidedFailureDomains,
+		});
+	}
+
+	/** Two shards at random, of which the one with the shorter known queue. */
+	function pickShard(service: string, shards: readonly number[]): number | undefined {
+		const first = Math.floor(random() * shards.length);
+		const offset = 1 + Math.floor(random() * Math.max(shards.length - 1, 1));
+		const pair = [shards[first], shards[(first + offset) % shards.length]];
+		const lengths = pair.map(shard => queueLengths.get(shardResource(service, shard ?? -1)) ?? 0);
+		return lengths[1]! < lengths[0]! ? pair[1] : pair[0];
+	}
+
+	/** Asks a shard that has not refused this request. Linear in the shards of the service. */
+	function place(request: PendingRequest, now: number): void {
+		const {service} = request.options;
+		const shards = [...(services.get(service)?.map.shards.keys() ?? [])];
+		if (shards.length === 0) {
+			refuse(request, 'no-capacity', 1000);
+			return;
+		}
+
+		const untried = shards.filter(shard => !request.refusedBy.has(shard));
+		if (untried.length === 0) {
+			giveUpOrWait(request, now);
+			return;
+		}
+
+		const reachable = untried.filter(
+			shard => ownerOf(shardResource(service, shard), now) !== undefined,
+		);
+		const shard = pickShard(service, reachable);
+		const coordinator =
+			shard === undefined ? undefined : ownerOf(shardResource(service, shard), now);
+		if (shard === undefined || coordinator === undefined) {
+			request.retryAt = now + retryInterval;
+			return;
+		}
+
+		const id = `${self}/${nextId++}`;
+		request.ask = {id, shard, coordinator, sentAt: [], heardAt: Number.NEGATIVE_INFINITY};
+		pendingByAsk.set(id, request);
+		sendAsk(request, request.ask, now);
+	}
+
+	/** A change of coordinators passes, so the request waits for it; other refusals are final. */
+	function giveUpOrWait(request: PendingRequest, now: number): void {
+		const {reason, retryAfter} = request.lastRefusal;
+		if (reason !== 'not-coordinator') {
+			refuse(request, reason, retryAfter);
+			return;
+		}
+
+		request.refusedBy.clear();
+		request.retryAt = now + retryInterval;
+	}
+
+	function giveBack(message: SlotGrantMessage, service: string, from: InstanceId): void {
+		const {grant, target} = message;
+		send(from, {kind: 'slot-release', grant, holder: self, service, target});
+	}
+
+	/** The service of a late grant is found by its target, in the few services of the fleet. */
+	function giveBackLate(message: SlotGrantMessage, from: InstanceId): void {
+		for (const [service, {targets}] of services) {
+			if (targets.has(message.target)) {
+				giveBack(message, service, from);
+			}
+		}
+	}
+
+	function accept(
+		request: PendingRequest,
+		message: SlotGrantMessage,
+		from: InstanceId,
+		now: number,
+	): void {
+		const {service, workspace} = request.options;
+		const {grant, target, term, warmSlots, keepConnection} = message;
+		const {sentAt, shard} = request.ask!;
+		const askedAt = sentAt[message.attempt] ?? sentAt[0]!;
+		const expiresAt = askedAt + Math.min(term, grantTerm) - cancelTime;
+		const definition = services.get(service)?.targets.get(target);
+		if (definition === undefined || expiresAt <= now) {
+			giveBack(message, service, from);
+			withdrawAsk(request);
+			place(request, now);
+			return;
+		}
+
+		const resource = shardResource(service, shard);
+		const mutable: MutableGrant = {
+			grant,
+			service,
+			target,
+			workspace,
+			warmSlots,
+			definition,
+			keepConnection,
+			expiresAt,
+			resource,
+			coordinators: new Set([from]),
+			coordinator: from,
+			refusedBy: undefined,
+			isExpired: false,
+		};
+		held.set(grant, mutable);
+		finish(request);
+		events.push({kind: 'granted', request: request.id, grant: mutable});
+	}
+
+	/** The owner, or the last coordinator while there is no owner or the owner has refused. */
+	function renewerOf(grant: MutableGrant, now: number): InstanceId {
+		const owner = ownerOf(grant.resource, now);
+		return owner === undefined || owner === grant.refusedBy ? grant.coordinator : owner;
+	}
+
+	function holdings(now: number): Map<InstanceId, Holding[]> {
+		const byCoordinator = new Map<InstanceId, Holding[]>();
+		for (const mutable of held.values()) {
+			if (mutable.isExpired || mutable.expiresAt <= now) {
+				continue;
+			}
+
+			const coordinator = renewerOf(mutable, now);
+			// The coordinator may adopt the grant even if its answer is lost.
+			mutable.coordinators.add(coordinator);
+			const {grant, service, target, workspace, warmSlots} = mutable;
+			const list = byCoordinator.get(coordinator) ?? [];
+			byCoordinator.set(coordinator, list);
+			list.push({grant, service, target, workspace, warmSlots});
+		}
+
+		return byCoordinator;
+	}
+
+	function sendRenewals(now: number): void {
+		for (const [sequence, sentAt] of renewals) {
+			if (now - sentAt <= grantTerm) {
+				break;
+			}
+
+			renewals.delete(sequence);
+		}
+
+		for (const [to, list] of holdings(now)) {
+			const sequence = nextSequence++;
+			renewals.set(sequence, now);
+			send(to, {kind: 'slot-renew', sequence, holdings: list});
+		}
+	}
+
+	function tickRequest(request: PendingRequest, now: number): void {
+		const {ask, options: requestOptions} = request;
+		if (requestOptions.deadline <= now) {
+			withdrawAsk(request);
+			refuse(
+				request,
+				ask ? 'deadline' : request.lastRefusal.reason,
+				request.lastRefusal.retryAfter,
+			);
+			return;
+		}
+
+		if (!ask) {
+			if (now >= request.retryAt) {
+				place(request, now);
+			}
+
+			return;
+		}
+
+		const lastSent = ask.sentAt.at(-1)!;
+		const isSilent = ask.heardAt < lastSent && now - lastSent >= coordinatorSilence;
+		const owner = ownerOf(shardResource(requestOptions.service, ask.shard), now);
+		if (isSilent || owner !== ask.coordinator) {
+			withdrawAsk(request);
+			if (isSilent) {
+				request.refusedBy.add(ask.shard);
+			}
+
+			place(request, now);
+		} else if (now - lastSent >= repeatInterval) {
+			sendAsk(request, ask, now);
+		}
+	}
+
+	const handlers: Handlers<HolderMessage, {from: InstanceId; now: number}> = {
+		'slot-queued'({id, queueLength}, {now}) {
+			const request = pendingByAsk.get(id);
+			if (request?.ask) {
+				request.ask.heardAt = now;
+				queueLengths.set(shardResource(request.options.service, request.ask.shard), queueLength);
+			}
+		},
+		'slot-grant'(message, {from, now}) {
+			const request = pendingByAsk.get(message.id);
+			if (request) {
+				const resource = shardResource(request.options.service, request.ask!.shard);
+				queueLengths.set(resource, message.queueLength);
+				accept(request, message, from, now);
+			} else if (!held.has(message.grant)) {
+				giveBackLate(message, from);
+			}
+		},
+		'slot-refusal'({id, reason, retryAfter, queueLength}, {now}) {
+			const request = pendingByAsk.get(id);
+			if (!request?.ask) {
+				return;
+			}
+
+			pendingByAsk.delete(id);
+			queueLengths.set(shardResource(request.options.service, request.ask.shard), queueLength);
+			request.refusedBy.add(request.ask.shard);
+			request.ask = undefined;
+			request.lastRefusal = {reason, retryAfter};
+			place(request, now);
+		},
+		'slot-renewed'({sequence, renewed, refused}, {from, now}) {
+			const sentAt = renewals.get(sequence);
+			for (const id of renewed) {
+				const grant = held.get(id);
+				// A grant that has run out stays so: its coordinator may have passed on the slot.
+				if (grant && sentAt !== undefined && !grant.isExpired && grant.expiresAt > now) {
+					grant.expiresAt = Math.max(grant.expiresAt, sentAt + grantTerm - cancelTime);
+					grant.coordinator = from;
+					grant.refusedBy = undefined;
+				}
+			}
+
+			for (const id of refused) {
+				const grant = held.get(id);
+				if (grant) {
+					grant.refusedBy = from;
+				}
+			}
+		},
+	};
+
+	return {
+		configure(definitions) {
+			services.clear();
+			for (const [name, settings] of definitions) {
+				const targets = new Map(settings.targets.map(target => [target.id, target]));
+				services.set(name, {map: createShardMap(settings), targets});
+			}
+		},
+		ask(requestOptions, now) {
+			const request: PendingRequest = {
+				id: `${self}/${nextId++}`,
+				options: requestOptions,
+				refusedBy: new Set(),
+				ask: undefined,
+				retryAt: now,
+				lastRefusal: noCoordinator,
+			};
+			pending.set(request.id, request);
+			place(request, now);
+			return {request: request.id, step: finishStep()};
+		},
+		cancel(id) {
+			const request = pending.get(id);
+			if (request) {
+				withdrawAsk(request);
+				finish(request);
+			}
+
+			return finishStep();
+		},
+		handle(message, from, now) {
+			dispatch(handlers, message, {from, now});
+			return finishStep();
+		},
+		tick(now) {
+			for (const grant of held.values()) {
+				if (!grant.isExpired && grant.expiresAt <= now) {
+					grant.isExpired = true;
+					events.push({kind: 'expired', grant});
+				}
+			}
+
+			for (const request of pending.values()) {
+				tickRequest(request, now);
+			}
+
+			if (now - lastRenewal >= renewInterval) {
+				lastRenewal = now;
+				sendRenewals(now);
+			}
+
+			return finishStep();
+		},
+		mayDispatch(grant, isKeyValid, now) {
+			const current = held.get(grant.grant);
+			return (
+				current !== undefined &&
+				!current.isExpired &&
+				current.expiresAt > now &&
+				availability(current.service, current.definition) === 'available' &&
+				isKeyValid()
+			);
+		},
+		release(grant, outcome, now) {
+			const mutable = held.get(grant.grant);
+			if (mutable && held.delete(grant.grant)) {
+				const {service, target} = mutable;
+				if (outcome) {
+					paths.record(service, target, outcome.result, now);
+				}
+
+				for (const to of mutable.coordinators) {
+					send(to, {
+						kind: 'slot-release',
+						grant: grant.grant,
+						holder: self,
+						service,
+						target,
+						outcome,
+					});
+				}
+			}
+
+			return finishStep();
+		},
+		holdings,
+	};
+}
--- /dev/null
+++ b/packages/policy-dispatch/src/slot-messages.ts
@@ -0,0 +1,160 @@
+/**
+ * Messages between the holders of slots and the coordinators that grant them. Every message may be
+ * lost, duplicated, delayed or reordered: asks and grants carry ids, and a receiver that has dealt
+ * with an id before repeats its answer or ignores the message. Times are durations, because the
+ * monotonic clocks of two instances have different origins.
+ */
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+
+/** Why a request got no slot. All of them say that the request did not run. */
+export type RefusalReason =
+	/** The shard has no target that this request may use. */
+	| 'no-capacity'
+	| 'queue-full'
+	| 'deadline'
+	/** The asked instance coordinates this shard no longer, or no instance could be asked. */
+	| 'not-coordinator'
+	| 'service-unhealthy';
+
+/** The result of one attempt, in the words of the request path. */
+export type SlotResult =
+	| 'ok'
+	| 'error'
+	| 'timeout'
+	| 'incomplete'
+	| 'connection-failed'
+	| 'connection-broken'
+	| 'shed'
+	| 'cancelled';
+
+export type SlotOutcome = {
+	readonly result: SlotResult;
+	/** Milliseconds from dispatch to the head of the answer, or to the failure. */
+	readonly latency: number;
+	/** Milliseconds for which the slot was in use. */
+	readonly slotTime: number;
+	/** Changes when the target process was restarted, where the target says so. */
+	readonly generation?: string;
+};
+
+export type SlotAsk = {
+	readonly kind: 'slot-ask';
+	/** Unique over all instances and time. */
+	readonly id: string;
+	/** Counts the repetitions of this ask, from 0. */
+	readonly attempt: number;
+	readonly service: string;
+	readonly shard: number;
+	readonly workspace: string;
+	/** Milliseconds until the deadline, counted by the coordinator from the arrival. */
+	readonly timeLeft: number;
+	readonly excludeTargets: readonly string[];
+	/** Failure domains to avoid where another one has room. */
+	readonly avoidFailureDomains: readonly string[];
+};
+
+/** The ask waits in the queue. Tells the holder that the coordinator is there. */
+export type SlotQueued = {
+	readonly kind: 'slot-queued';
+	readonly id: string;
+	readonly queueLength: number;
+};
+
+export type SlotGrantMessage = {
+	readonly kind: 'slot-grant';
+	readonly id: string;
+	/** The repetition of the ask from whose sending the holder counts the term. */
+	readonly attempt: number;
+	readonly grant: string;
+	readonly target: string;
+	/** Milliseconds. */
+	readonly term: number;
+	/** Slots that the target was allowed when the grant was issued. */
+	readonly warmSlots: number;
+	/** Whether the holder may keep the connection open after the answer, for `connectionIdle`. */
+	readonly keepConnection: boolean;
+	readonly queueLength: number;
+};
+
+export type SlotRefusal = {
+	readonly kind: 'slot-refusal';
+	readonly id: string;
+	readonly reason: RefusalReason;
+	/** Milliseconds. */
+	readonly retryAfter: number;
+	readonly runState: 'not-run';
+	readonly queueLength: number;
+};
+
+export type SlotRelease = {
+	readonly kind: 'slot-release';
+	readonly grant: string;
+	readonly holder: InstanceId;
+	readonly service: string;
+	readonly target: string;
+	/** Absent when the grant was not used. */
+	readonly outcome?: SlotOutcome;
+};
+
+export type SlotCancel = {
+	readonly kind: 'slot-cancel';
+	readonly id: string;
+	readonly service: string;
+	readonly shard: number;
+};
+
+/** A grant that a holder reports in order to renew it. */
+export type Holding = {
+	readonly grant: string;
+	readonly service: string;
+	readonly target: string;
+	readonly workspace: string;
+	/** From the grant. The request still runs, so the target has not restarted since. */
+	readonly warmSlots: number;
+};
+
+export type SlotRenew = {
+	readonly kind: 'slot-renew';
+	/** Rises with each message of the holder; the holder counts the term from when it sent this one. */
+	readonly sequence: number;
+	readonly holdings: readonly Holding[];
+};
+
+export type SlotRenewed = {
+	readonly kind: 'slot-renewed';
+	readonly sequence: number;
+	readonly renewed: readonly string[];
+	readonly refused: readonly string[];
+};
+
+/** State of a shard for its next coordinator, in a planned stop. */
+export type SlotHandover = {
+	readonly kind: 'slot-handover';
+	readonly service: string;
+	readonly shard: number;
+	readonly grants: ReadonlyArray<Holding & {readonly holder: InstanceId}>;
+	readonly targets: ReadonlyArray<{
+		readonly target: string;
+		readonly warmSlots: number;
+		readonly generation?: string;
+		/** Milliseconds until the next trial, for an ejected target. */
+		readonly ejectedFor?: number;
+	}>;
+};
+
+export type SlotMessage =
+	| SlotAsk
+	| SlotQueued
+	| SlotGrantMessage
+	| SlotRefusal
+	| SlotRelease
+	| SlotCancel
+	| SlotRenew
+	| SlotRenewed
+	| SlotHandover;
+
+/** Messages that a coordinator receives. */
+export type CoordinatorMessage = SlotAsk | SlotRelease | SlotCancel | SlotRenew | SlotHandover;
+
+/** Messages that a holder receives. */
+export type HolderMessage = SlotQueued | SlotGrantMessage | SlotRefusal | SlotRenewed;
--- /dev/null
+++ b/packages/policy-dispatch/src/target-health.ts
@@ -0,0 +1,381 @@
+/**
+ * Outlier ejection: judges the targets of a service by the real work that they do, each against its
+ * peers in the same period. A verdict needs a minimum number of samples and holds with a confidence
+ * bound, so ordinary noise ejects nothing, and what strikes all targets alike ejects none of them.
+ */
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {createSampleWindow, type SampleWindow, type WindowSummary} from './sample-window.js';
+import {type SlotOutcome, type SlotResult} from './slot-messages.js';
+
+export type HealthState = 'healthy' | 'suspect' | 'ejected' | 'trial';
+export type EjectionReason = 'errors' | 'slow' | 'incomplete';
+
+export type HealthChange = {
+	readonly target: string;
+	readonly state: HealthState;
+	readonly reason?: EjectionReason;
+	/** Milliseconds until the trial, for `ejected`. */
+	readonly duration?: number;
+};
+
+export type TargetHealthOptions = {
+	/** Asked before each ejection; false keeps the target at work as `suspect`. */
+	readonly mayEject: (target: string) => boolean;
+};
+
+export type TargetHealth = {
+	/** Counts an outcome. O(1). */
+	record(target: string, holder: InstanceId, outcome: SlotOutcome, now: number): void;
+	stateOf(target: string): HealthState;
+	/**
+	 * Judges all targets and returns the changes of state. Linear in the known targets; call it
+	 * every `evaluationInterval`.
+	 */
+	evaluate(now: number): HealthChange[];
+	/** Ends an ejection early, because the floor needs the target or the target has restarted. */
+	startTrial(target: string): void;
+	/** Takes over an ejection from a predecessor, for `duration` milliseconds. */
+	adoptEjection(target: string, duration: number, now: number): void;
+	/** Milliseconds until the trial of an ejected target, or undefined. */
+	ejectedFor(target: string, now: number): number | undefined;
+	/** Drops the samples, after which the target is judged anew. Its ejection time stays doubled. */
+	clearSamples(target: string): void;
+	forget(target: string): void;
+	/** The service is slow as a whole, or the floor forbade an ejection: load should be shed. */
+	readonly isOverloaded: boolean;
+};
+
+/** Milliseconds between two evaluations. */
+export const evaluationInterval = 250;
+
+const shortestEjection = 5000;
+const longestEjection = 300_000;
+/** Milliseconds of good health after which the ejection time starts from the shortest again. */
+const ejectionMemory = 600_000;
+/** Samples below which a target is not judged. */
+const minimumSamples = 10;
+/**
+ * Standard errors that the estimate must lie beyond the limit. An hour has some 200,000 judgements
+ * of 15 targets, of which none may be wrong by chance.
+ */
+const confidence = 4;
+/** Part of failures that a target must certainly exceed. */
+const errorLimit = 0.15;
+/** Ratio to the median latency of the peers that a target must certainly exceed. */
+const slowLimit = Math.log(2);
+/** Ratio at which a trial counts as slow; it has too few samples for a bound. */
+const trialSlowLimit = Math.log(4);
+/** Ratio to the service's own past latency above which the service is slow as a whole. */
+const serviceSlowLimit = Math.log(2);
+/** Milliseconds in which the memory of the service's latency fades to 1/e. */
+const baselineMemory = 60_000;
+const trialAnswers = 5;
+const trialFailures = 2;
+/** Good answers of other holders that make the failures of one holder a path fault. */
+const pathWitnesses = 5;
+/** Failure rate of the other holders up to which the failures of one are a path fault. */
+const pathOthersLimit = 0.1;
+
+type TargetRecord = {
+	readonly target: string;
+	/** Two seconds, for busy targets. */
+	readonly short: SampleWindow;
+	/** Thirty seconds, for targets with little work. */
+	readonly long: SampleWindow;
+	state: HealthState;
+	ejectedUntil: number;
+	/** Ejections in a row; the exponent of the ejection time. */
+	level: number;
+	healthySince: number;
+	trialGood: number;
+	trialBad: number;
+	trialLogSum: number;
+};
+
+type Judged = {readonly record: TargetRecord; readonly summary: WindowSummary};
+type Rates = {readonly good: number; readonly bad: number; readonly excused: boolean};
+
+const verdicts: Readonly<Record<SlotResult, 'good' | 'bad' | 'incomplete' | 'ignored'>> = {
+	ok: 'good',
+	error: 'bad',
+	timeout: 'bad',
+	incomplete: 'incomplete',
+	'connection-failed': 'bad',
+	'connection-broken': 'bad',
+	// A target that sheds load tells the truth about itself and ran nothing.
+	shed: 'ignored',
+	cancelled: 'ignored',
+};
+
+/** Lower end of the Wilson interval of a proportion. */
+function lowerBound(bad: number, total: number): number {
+	const proportion = bad / total;
+	const squared = confidence * confidence;
+	const center = proportion + squared / (2 * total);
+	const spread =
+		confidence * Math.sqrt((proportion * (1 - proportion)) / total + squared / (4 * total * total));
+	return (center - spread) / (1 + squared / total);
+}
+
+function median(values: readonly number[]): number {
+	const sorted = [...values].sort((a, b) => a - b);
+	const middle = Math.floor(sorted.length / 2);
+	return sorted.length % 2 === 1 ? sorted[middle]! : (sorted[middle - 1]! + sorted[middle]!) / 2;
+}
+
+/** Counts without the holder whose failures the other holders do not see on the same target. */
+function withoutPathFault(summary: WindowSummary): Rates {
+	for (const counts of summary.byHolder.values()) {
+		const othersGood = summary.good - counts.good;
+		const othersBad = summary.bad - counts.bad;
+		const isFailing = counts.bad > counts.good * pathOthersLimit;
+		const othersSucceed =
+			othersGood >= pathWitnesses && othersBad <= pathOthersLimit * (othersGood + othersBad);
+		if (isFailing && othersSucceed) {
+			return {good: othersGood, bad: othersBad, excused: true};
+		}
+	}
+
+	return {good: summary.good, bad: summary.bad, excused: false};
+}
+
+function judgeErrors({summary}: Judged, peers: readonly Judged[]): EjectionReason | undefined {
+	const own = withoutPathFault(summary);
+	const total = own.good + own.bad;
+	if (total < minimumSamples) {
+		return undefined;
+	}
+
+	const peerRates = peers
+		.filter(peer => peer.summary.good + peer.summary.bad > 0)
+		.map(({summary: {good, bad}}) => bad / (good + bad));
+	const peerRate = peerRates.length === 0 ? 0 : median(peerRates);
+	if (lowerBound(own.bad, total) <= Math.max(errorLimit, 2 * peerRate)) {
+		return undefined;
+	}
+
+	return summary.incomplete * 2 > summary.bad ? 'incomplete' : 'errors';
+}
+
+function judgeLatency({summary}: Judged, peers: readonly Judged[]): EjectionReason | undefined {
+	const compared = peers.filter(peer => peer.summary.latencies >= minimumSamples);
+	if (summary.latencies < minimumSamples || compared.length === 0) {
+		return undefined;
+	}
+
+	const excess = summary.logMean - median(compared.map(peer => peer.summary.logMean));
+	const peerDeviation = median(compared.map(peer => peer.summary.logDeviation));
+	// A few samples may have a small deviation by chance, so the larger of the two is used.
+	const deviation = Math.max(summary.logDeviation, peerDeviation);
+	const peerSamples = compared.reduce((sum, peer) => sum + peer.summary.latencies, 0);
+	const standardError = deviation * Math.sqrt(1 / summary.latencies + Math.PI / 2 / peerSamples);
+	return excess - confidence * standardError > slowLimit ? 'slow' : undefined;
+}
+
+export function createTargetHealth(options: TargetHealthOptions): TargetHealth {
+	const records = new Map<string, TargetRecord>();
+	let changes: HealthChange[] = [];
+	let baseline: number | undefined;
+	let baselineAt = 0;
+	let isServiceSlow = false;
+	let isEjectionBlocked = false;
+
+	function recordOf(target: string): TargetRecord {
+		let record = records.get(target);
+		if (record === undefined) {
+			record = {
+				target,
+				short: createSampleWindow(250, 8),
+				long: createSampleWindow(5000, 6),
+				state: 'healthy',
+				ejectedUntil: 0,
+				level: 0,
+				healthySince: 0,
+				trialGood: 0,
+				trialBad: 0,
+				trialLogSum: 0,
+			};
+			records.set(target, record);
+		}
+
+		return record;
+	}
+
+	function clearWindows(record: TargetRecord): void {
+		record.short.clear();
+		record.long.clear();
+		record.trialGood = 0;
+		record.trialBad = 0;
+		record.trialLogSum = 0;
+	}
+
+	function change(record: TargetRecord, state: HealthState, details?: Partial<HealthChange>): void {
+		if (record.state !== state) {
+			record.state = state;
+			changes.push({target: record.target, state, ...details});
+		}
+	}
+
+	function eject(record: TargetRecord, reason: EjectionReason, now: number): void {
+		if (!options.mayEject(record.target)) {
+			isEjectionBlocked = true;
+			// In a trial the target has few slots already, so it stays there.
+			if (record.state !== 'trial') {
+				change(record, 'suspect', {reason});
+			}
+
+			return;
+		}
+
+		const duration = Math.min(shortestEjection * 2 ** record.level, longestEjection);
+		record.level++;
+		record.ejectedUntil = now + duration;
+		clearWindows(record);
+		change(record, 'ejected', {reason, duration});
+	}
+
+	function becomeHealthy(record: TargetRecord, now: number): void {
+		record.healthySince = now;
+		clearWindows(record);
+		change(record, 'healthy');
+	}
+
+	function beginTrial(record: TargetRecord): void {
+		clearWindows(record);
+		change(record, 'trial');
+	}
+
+	function judgeTrial(record: TargetRecord, now: number): void {
+		if (record.trialBad >= trialFailures) {
+			eject(record, 'errors', now);
+		} else if (record.trialGood >= trialAnswers) {
+			const logMean = record.trialLogSum / record.trialGood;
+			const isSlow = baseline !== undefined && logMean - baseline > trialSlowLimit;
+			if (isSlow && !isServiceSlow) {
+				eject(record, 'slow', now);
+			} else {
+				becomeHealthy(record, now);
+			}
+		}
+
+		// Blocked by the floor: the next answers decide anew.
+		if (record.state === 'trial' && record.trialGood + record.trialBad >= 2 * trialAnswers) {
+			clearWindows(record);
+		}
+	}
+
+	/** Compares the service with its own past, which a slowdown of all targets does not hide in. */
+	function updateBaseline(judged: readonly Judged[], now: number): void {
+		const means = judged
+			.filter(({summary}) => summary.latencies >= minimumSamples)
+			.map(({summary}) => summary.logMean);
+		if (means.length === 0) {
+			return;
+		}
+
+		const present = median(means);
+		baseline ??= present;
+		isServiceSlow = means.length > 1 && present - baseline > serviceSlowLimit;
+		baseline += (present - baseline) * Math.min(1, (now - baselineAt) / baselineMemory);
+		baselineAt = now;
+	}
+
+	function judgeWork(judged: Judged, peers: readonly Judged[], now: number): boolean {
+		const reason =
+			judgeErrors(judged, peers) ?? (isServiceSlow ? undefined : judgeLatency(judged, peers));
+		if (reason !== undefined) {
+			eject(judged.record, reason, now);
+		}
+
+		return reason !== undefined;
+	}
+
+	/** Quadratic in the known targets of a service: some tens per coordinator, four times a second. */
+	function judgeAtWork(now: number): void {
+		const atWork = [...records.values()].filter(
+			({state}) => state === 'healthy' || state === 'suspect',
+		);
+		const short = atWork.map(record => ({record, summary: record.short.summarize(now)}));
+		const long = atWork.map(record => ({record, summary: record.long.summarize(now)}));
+		updateBaseline(short, now);
+		for (const [index, judged] of short.entries()) {
+			const {record} = judged;
+			const isUnhealthy =
+				judgeWork(judged, short.toSpliced(index, 1), now) ||
+				judgeWork(long[index]!, long.toSpliced(index, 1), now);
+			if (!isUnhealthy && record.state === 'suspect') {
+				becomeHealthy(record, now);
+			}
+
+			if (record.level > 0 && now - record.healthySince > ejectionMemory) {
+				record.level = 0;
+			}
+		}
+	}
+
+	return {
+		record(target, holder, outcome, now) {
+			const verdict = verdicts[outcome.result];
+			const record = recordOf(target);
+			// Answers of requests that were sent before the ejection say nothing new.
+			if (verdict === 'ignored' || record.state === 'ejected') {
+				return;
+			}
+
+			if (verdict === 'good') {
+				record.short.addGood(holder, outcome.latency, now);
+				record.long.addGood(holder, outcome.latency, now);
+				record.trialGood++;
+				record.trialLogSum += Math.log(Math.max(outcome.latency, 0.1));
+			} else {
+				record.short.addBad(holder, verdict === 'incomplete', now);
+				record.long.addBad(holder, verdict === 'incomplete', now);
+				record.trialBad++;
+			}
+		},
+		stateOf: target => records.get(target)?.state ?? 'healthy',
+		evaluate(now) {
+			isEjectionBlocked = false;
+			for (const record of records.values()) {
+				if (record.state === 'ejected' && now >= record.ejectedUntil) {
+					beginTrial(record);
+				} else if (record.state === 'trial') {
+					judgeTrial(record, now);
+				}
+			}
+
+			judgeAtWork(now);
+			const result = changes;
+			changes = [];
+			return result;
+		},
+		startTrial(target) {
+			const record = recordOf(target);
+			if (record.state === 'ejected') {
+				beginTrial(record);
+			}
+		},
+		adoptEjection(target, duration, now) {
+			const record = recordOf(target);
+			record.ejectedUntil = now + Math.min(duration, longestEjection);
+			record.level = Math.max(record.level, 1);
+			change(record, 'ejected', {duration});
+		},
+		ejectedFor(target, now) {
+			const record = records.get(target);
+			return record?.state === 'ejected' ? Math.max(record.ejectedUntil - now, 0) : undefined;
+		},
+		clearSamples(target) {
+			const record = records.get(target);
+			if (record) {
+				clearWindows(record);
+			}
+		},
+		forget(target) {
+			records.delete(target);
+		},
+		get isOverloaded() {
+			return isServiceSlow || isEjectionBlocked;
+		},
+	};
+}
