Decide membership and lend shares between instances

The limits on rates and slots need an owner per resource that stays safe under partitions, pauses and clock drift.

--- /dev/null
+++ b/packages/policy-membership/src/__tests__/fleet.ts
@@ -0,0 +1,130 @@
+/**
+ * A fleet of memberships on a fake network, for the tests of this package.
+ */
+import {createInstanceId} from '@shallotpond/kernel/instance-id';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {createSeededRandom} from '@shallotpond/kernel/random';
+import {createFakeNetwork} from '@shallotpond/testkit/fake-network';
+import {createSteerableClock, type SteerableClock} from '@shallotpond/testkit/steerable-clock';
+import {type MembershipMessage} from '../heartbeat.js';
+import {createMembership, type Membership} from '../membership.js';
+import {type ListedInstance} from '../roster.js';
+import {heartbeatInterval} from '../timing.js';
+
+export type Member = {
+	readonly address: string;
+	readonly clock: SteerableClock;
+	readonly membership: Membership;
+};
+
+export type FleetOptions = {
+	readonly size: number;
+	readonly seed: number;
+	/** D; the size of the fleet by default. */
+	readonly maxInstances?: number;
+};
+
+export const resources = Array.from({length: 6}, (_, index) => `shard:roster/${index}`);
+
+/** The largest difference of clock speeds that leases must bear is 1%. */
+const speeds = [1, 1.005, 1.01];
+
+export function createFleet({size, seed, maxInstances = size}: FleetOptions) {
+	const random = createSeededRandom(seed);
+	const network = createFakeNetwork<MembershipMessage>({random});
+	const members = new Map<string, Member>();
+	const addresses = Array.from({length: size}, (_, index) => `10.0.0.${index + 1}:7400`);
+	let incarnation = 0;
+	let list: ListedInstance[] = [];
+
+	function send(from: string, messages: ReadonlyArray<Outbound<MembershipMessage>>): void {
+		for (const {to, message} of messages) {
+			network.send(from, to.split('#', 1)[0]!, message);
+		}
+	}
+
+	function start(address: string, speed = speeds[Math.floor(random() * speeds.length)]!): Member {
+		const clock = createSteerableClock({start: Math.floor(random() * 1e6), speed});
+		const membership = createMembership({
+			self: createInstanceId(address, String(incarnation++)),
+			startedAt: clock.monotonic(),
+			maxInstances: () => maxInstances,
+			configuration: () => ({version: 1, digest: 'd', confirmedAgo: 0}),
+		});
+		membership.observeInstances(list, clock.monotonic());
+		clock.after(random() * heartbeatInterval, () => {
+			send(address, membership.tick(clock.monotonic()));
+			// eslint-disable-next-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument -- not an array
+			clock.every(heartbeatInterval, () => {
+				send(address, membership.tick(clock.monotonic()));
+			});
+		});
+		const member = {address, clock, membership};
+		members.set(address, member);
+		network.attach(address, {
+			clock,
+			deliver(message) {
+				send(address, membership.receive(message, clock.monotonic()));
+			},
+		});
+		return member;
+	}
+
+	function crash(address: string): void {
+		network.detach(address);
+		members.delete(address);
+	}
+
+	function leave(address: string): void {
+		const member = members.get(address);
+		if (member !== undefined) {
+			send(address, member.membership.leave(member.clock.monotonic()));
+		}
+	}
+
+	function updateList(): void {
+		list = addresses.map(address => ({address, failureDomain: 'north', state: 'live'}));
+		for (const {clock, membership} of members.values()) {
+			membership.observeInstances(list, clock.monotonic());
+		}
+	}
+
+	/** Sum over all running instances, in shares, each by its own clock. */
+	function lentShares(resource: string): number {
+		let sum = 0;
+		for (const {membership, clock} of members.values()) {
+			sum += membership.fraction(resource, clock.monotonic()).current * maxInstances;
+		}
+
+		return Math.round(sum);
+	}
+
+	/** The shares of each owner of the resource. */
+	function holders(resource: string): number[] {
+		return [...members.values()]
+			.map(({membership, clock}) => membership.fraction(resource, clock.monotonic()).current)
+			.filter(fraction => fraction > 0)
+			.map(fraction => Math.round(fraction * maxInstances));
+	}
+
+	return {
+		random,
+		network,
+		members,
+		addresses,
+		start,
+		crash,
+		leave,
+		updateList,
+		lentShares,
+		holders,
+		startAll() {
+			updateList();
+			for (const address of addresses) {
+				start(address);
+			}
+		},
+	};
+}
+
+export type Fleet = ReturnType<typeof createFleet>;
--- /dev/null
+++ b/packages/policy-membership/src/__tests__/share-safety.test.ts
@@ -0,0 +1,130 @@
+/**
+ * Guards against two owners counting the same share, under random schedules of faults.
+ */
+import process from 'node:process';
+import {expect, test} from '@jest/globals';
+import fc from 'fast-check';
+import {createFleet, resources, type Fleet} from './fleet.js';
+
+/** Milliseconds of true time between two checks. */
+const step = 10;
+
+/** `SHARE_SAFETY_RUNS` and `SHARE_SAFETY_SEED` are for longer trials. */
+const runs = Number(process.env.SHARE_SAFETY_RUNS ?? 40);
+const seed = Number(process.env.SHARE_SAFETY_SEED ?? 20_261_204);
+
+type Fault = {readonly kind: string; readonly first: number; readonly second: number};
+
+const faults: Record<string, (fleet: Fleet, first: string, second: string) => void> = {
+	cut(fleet, first, second) {
+		fleet.network.cut(first, second);
+	},
+	partition(fleet) {
+		for (const from of fleet.addresses) {
+			for (const to of fleet.addresses) {
+				if (fleet.random() < 1 / 4) {
+					fleet.network.cut(from, to);
+				}
+			}
+		}
+	},
+	silence(fleet, first) {
+		fleet.network.silence(first);
+	},
+	heal(fleet) {
+		fleet.network.healAll();
+	},
+	pause(fleet, first) {
+		fleet.network.pause(first);
+	},
+	resume(fleet, first, second) {
+		fleet.network.resume(first);
+		fleet.network.resume(second);
+	},
+	crash(fleet, first) {
+		fleet.crash(first);
+	},
+	restart(fleet, first) {
+		fleet.crash(first);
+		fleet.start(first);
+	},
+	leave(fleet, first) {
+		fleet.leave(first);
+	},
+	updateList(fleet) {
+		fleet.updateList();
+	},
+};
+
+const fault = fc.record({
+	kind: fc.constantFrom(...Object.keys(faults)),
+	first: fc.nat(8),
+	second: fc.nat(8),
+	/** Milliseconds until the next fault. */
+	pause: fc.integer({min: 10, max: 3000}),
+});
+
+function expectSafe(fleet: Fleet): void {
+	for (const resource of resources) {
+		const lent = fleet.lentShares(resource);
+		if (lent > fleet.addresses.length) {
+			throw new Error(`${lent} shares of ${resource} in use at ${fleet.network.now()} ms`);
+		}
+	}
+}
+
+function apply(fleet: Fleet, {kind, first, second}: Fault): void {
+	const {addresses} = fleet;
+	const size = addresses.length;
+	faults[kind]!(fleet, addresses[first % size]!, addresses[second % size]!);
+}
+
+function endFaults(fleet: Fleet): void {
+	fleet.network.healAll();
+	fleet.network.setConditions({loss: 0, duplication: 0, longDelayProbability: 0});
+	fleet.updateList();
+	for (const address of fleet.addresses) {
+		fleet.network.resume(address);
+		const {membership} = fleet.members.get(address) ?? {};
+		if (membership === undefined || membership.status(0).isLeaving) {
+			fleet.crash(address);
+			fleet.start(address);
+		}
+	}
+}
+
+test('a share is never in use at two owners, and every share is lent once faults end', () => {
+	const schedule = fc.record({
+		size: fc.integer({min: 5, max: 9}),
+		fleetSeed: fc.integer(),
+		steps: fc.array(fault, {minLength: 5, maxLength: 14}),
+	});
+	fc.assert(
+		fc.property(schedule, ({size, fleetSeed, steps}) => {
+			const fleet = createFleet({size, seed: fleetSeed});
+			fleet.startAll();
+			fleet.network.advance(5000, 100);
+			fleet.network.setConditions({
+				loss: 0.05,
+				duplication: 0.1,
+				longDelayProbability: 0.1,
+				longDelay: 3000,
+			});
+			for (const item of steps) {
+				apply(fleet, item);
+				fleet.network.advance(item.pause, step, () => {
+					expectSafe(fleet);
+				});
+			}
+
+			endFaults(fleet);
+			fleet.network.advance(9000, step, () => {
+				expectSafe(fleet);
+			});
+			for (const resource of resources) {
+				expect(fleet.holders(resource)).toEqual([size]);
+			}
+		}),
+		{numRuns: runs, seed},
+	);
+});
--- /dev/null
+++ b/packages/policy-membership/src/membership.ts
@@ -0,0 +1,386 @@
+/**
+ * The membership task: combines roster, share lending and heartbeats. It makes decisions only; the
+ * caller sends the messages it returns, delivers what arrives, and calls `tick` every 500 ms.
+ */
+import {addressOf, type InstanceId} from '@shallotpond/kernel/instance-id';
+import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {
+	type ConfigurationReport,
+	type Handover,
+	type Heartbeat,
+	type Holding,
+	type MembershipMessage,
+	type ViewMembers,
+} from './heartbeat.js';
+import {createView, type View, type ViewDigest} from './rendezvous.js';
+import {createRoster, type ListedInstance, type Peer, type PeerStatus} from './roster.js';
+import {type OwnerLookup, type ShareSource} from './share-fraction.js';
+import {createShareLender} from './share-lender.js';
+import {createShareOwner} from './share-owner.js';
+import {isolationDelay, leaseDuration} from './timing.js';
+
+/** What a two-way peer last reported; `confirmedAgo` includes the time since the report. */
+export type PeerConfiguration = ConfigurationReport & {
+	readonly from: InstanceId;
+	readonly failureDomain: string | undefined;
+};
+
+export type MembershipStatus = {
+	readonly view: View;
+	readonly liveViewCount: number;
+	readonly peers: readonly PeerStatus[];
+	/** Live instances on the platform's list, this one included. */
+	readonly listedLive: number;
+	/** More than D instances are listed as live; the list may show replaced ones. */
+	readonly exceedsMaxInstances: boolean;
+	readonly isLeaving: boolean;
+};
+
+export type MembershipOptions = {
+	readonly self: InstanceId;
+	/** Monotonic milliseconds at which this process started. */
+	readonly startedAt: number;
+	/** D: `fleet.maxInstances` of the configuration in force; at least 1, the same everywhere. */
+	readonly maxInstances: () => number;
+	/** The configuration to report in heartbeats. */
+	readonly configuration: (now: number) => ConfigurationReport;
+	/** Entries for the heartbeat to a peer; none by default. */
+	readonly holdings?: (to: InstanceId, now: number) => readonly Holding[] | undefined;
+	/** Called with the entries of each heartbeat that is neither a duplicate nor out of order. */
+	readonly onHoldings?: (from: InstanceId, holdings: readonly Holding[], now: number) => void;
+};
+
+export type Membership = {
+	readonly self: InstanceId;
+	/**
+	 * The heartbeats, and after `leave` the handovers, to send now. Called every 500 ms. Linear in
+	 * the peers.
+	 */
+	tick(now: number): Array<Outbound<MembershipMessage>>;
+	/** Handles a message; returns what must be sent at once, usually nothing. */
+	receive(message: MembershipMessage, now: number): Array<Outbound<MembershipMessage>>;
+	/** Takes the whole list of the platform, which may lag and may contain this instance. */
+	observeInstances(list: readonly ListedInstance[], now: number): void;
+	/** Records that the configuration service has answered. */
+	noteServiceReached(now: number): void;
+	/**
+	 * Starts a planned stop: gives up all shares for good, leaves the view and returns the messages
+	 * that tell the peers. `tick` must still be called until the process ends. Further calls return
+	 * nothing.
+	 */
+	leave(now: number): Array<Outbound<MembershipMessage>>;
+	readonly fraction: ShareSource;
+	readonly ownerOf: OwnerLookup;
+	/** This instance, unless it leaves, and its members among the peers. */
+	view(now: number): View;
+	/** Neither the configuration service nor any peer was reached for 10 s. */
+	isIsolated(now: number): boolean;
+	/** Of all two-way peers. */
+	configurations(now: number): PeerConfiguration[];
+	/** `undefined` while the platform does not list the instance. */
+	failureDomainOf(instance: InstanceId): string | undefined;
+	status(now: number): MembershipStatus;
+};
+
+/** Handovers are repeated with as many ticks, in case one is lost. */
+const handoverRepetitions = 4;
+
+export function createMembership(options: MembershipOptions): Membership {
+	const {self, startedAt, maxInstances, configuration, holdings, onHoldings} = options;
+	const ownAddress = addressOf(self);
+	const roster = createRoster(self);
+	const views = new Map<ViewDigest, View>();
+	const owner = createShareOwner({self, maxInstances, viewOf: digest => views.get(digest)});
+	const lender = createShareLender({self, startedAt, borrower: id => roster.peer(id)});
+	/** When each recent heartbeat was sent, by sequence. */
+	const sentTimes = new Map<number, number>();
+	let sequence = 0;
+	let ownView = createView([self]);
+	let viewRevision = roster.revision;
+	let lastContact = startedAt;
+	let isLeaving = false;
+	let handovers: Handover[] = [];
+	let handoversLeft = 0;
+	let ownListedState: ListedInstance | undefined;
+
+	function knowView(view: View): void {
+		if (!views.has(view.digest)) {
+			views.set(view.digest, view);
+			owner.invalidate();
+		}
+	}
+
+	function refreshView(): void {
+		if (viewRevision !== roster.revision) {
+			viewRevision = roster.revision;
+			ownView = createView([...roster.members(), ...(isLeaving ? [] : [self])]);
+		}
+	}
+
+	/** Brings the own view and the live views up to date. */
+	function refreshLending(now: number): void {
+		refreshView();
+		if (lender.update(ownView, sequence + 1, now)) {
+			const live = lender.liveViews();
+			for (const view of live) {
+				knowView(view);
+			}
+
+			// The own share is never out on a lease when this instance wins in all live views.
+			const digests = live.map(view => view.digest);
+			owner.lend(self, Number.POSITIVE_INFINITY, digests, now);
+		}
+	}
+
+	function learnViews(viewMembers: readonly ViewMembers[] | undefined): void {
+		for (const {digest, members} of viewMembers ?? []) {
+			if (!views.has(digest)) {
+				const view = createView(members);
+				// A digest that does not match its members must not decide who owns a share.
+				if (view.digest === digest) {
+					knowView(view);
+				}
+			}
+		}
+	}
+
+	function forgetUnusedViews(): void {
+		const used = new Set<ViewDigest>(owner.referencedViews());
+		for (const view of lender.liveViews()) {
+			used.add(view.digest);
+		}
+
+		for (const peer of roster.peers()) {
+			for (const digest of peer.views) {
+				used.add(digest);
+			}
+		}
+
+		for (const digest of views.keys()) {
+			if (!used.has(digest)) {
+				views.delete(digest);
+			}
+		}
+	}
+
+	function forgetOldSends(now: number): void {
+		for (const [sent, at] of sentTimes) {
+			if (at + leaseDuration > now) {
+				break;
+			}
+
+			sentTimes.delete(sent);
+		}
+	}
+
+	/** Members of the live views that the peer has not confirmed to know. */
+	function viewMembersFor(peer: Peer): ViewMembers[] {
+		const missing: ViewMembers[] = [];
+		for (const {digest, members} of lender.liveViews()) {
+			const sentBy = peer.membersSentBy.get(digest);
+			const isConfirmed = sentBy !== undefined && peer.confirmed >= sentBy;
+			if (!isConfirmed && !peer.views.includes(digest)) {
+				missing.push({digest, members});
+				peer.membersSentBy.set(digest, sentBy ?? sequence);
+			}
+		}
+
+		return missing;
+	}
+
+	function forgetSentMembers(peer: Peer): void {
+		for (const digest of peer.membersSentBy.keys()) {
+			if (!lender.liveViews().some(view => view.digest === digest)) {
+				peer.membersSentBy.delete(digest);
+			}
+		}
+	}
+
+	function heartbeatTo(peer: Peer, now: number): Heartbeat {
+		forgetSentMembers(peer);
+		const viewMembers = viewMembersFor(peer);
+		const unknownViews = peer.views.filter(digest => !views.has(digest));
+		const held = holdings?.(peer.id, now);
+		return {
+			kind: 'heartbeat',
+			from: self,
+			to: peer.id,
+			sequence,
+			echo: peer.lastSequence,
+			views: lender.liveViews().map(view => view.digest),
+			...(viewMembers.length > 0 && {viewMembers}),
+			...(unknownViews.length > 0 && {unknownViews}),
+			configuration: configuration(now),
+			leaving: isLeaving,
+			...(held !== undefined && held.length > 0 && {holdings: held}),
+		};
+	}
+
+	/**
+	 * The first contact with an address whose incarnation is unknown. It lends nothing, and its
+	 * sequence of 0 cannot make the receiver ignore a heartbeat that is sent at the same time.
+	 */
+	function greeting(address: string, now: number): Heartbeat {
+		return {
+			kind: 'heartbeat',
+			from: self,
+			to: address,
+			sequence: 0,
+			echo: 0,
+			views: [],
+			configuration: configuration(now),
+			leaving: isLeaving,
+		};
+	}
+
+	function beat(now: number): Array<Outbound<MembershipMessage>> {
+		sequence++;
+		sentTimes.set(sequence, now);
+		const messages: Array<Outbound<MembershipMessage>> = [];
+		for (const peer of roster.peers()) {
+			messages.push({to: peer.id, message: heartbeatTo(peer, now)});
+		}
+
+		for (const address of roster.unansweredAddresses(now)) {
+			messages.push({to: address, message: greeting(address, now)});
+		}
+
+		return messages;
+	}
+
+	function prepareHandovers(now: number): Handover[] {
+		const lenders = owner.vestedLenders(now);
+		owner.relinquish();
+		isLeaving = true;
+		viewRevision = -1;
+		refreshLending(now);
+		const digests = new Set(lenders.flatMap(lent => lent.views));
+		const named = [...digests].map(digest => views.get(digest)).filter(view => view !== undefined);
+		const viewMembers = [ownView, ...named].map(({digest, members}) => ({digest, members}));
+		return ownView.members.map(to => ({
+			kind: 'handover',
+			from: self,
+			to,
+			echo: roster.peer(to)?.lastSequence ?? 0,
+			successorView: ownView.digest,
+			lenders,
+			viewMembers,
+		}));
+	}
+
+	function outboundHandovers(): Array<Outbound<MembershipMessage>> {
+		if (handoversLeft === 0) {
+			return [];
+		}
+
+		handoversLeft--;
+		return handovers.map(message => ({to: message.to, message}));
+	}
+
+	function receiveHeartbeat(message: Heartbeat, now: number) {
+		const echoSentAt = message.to === self ? sentTimes.get(message.echo) : undefined;
+		const wasLeaving = roster.peer(message.from)?.hasRelinquished ?? false;
+		const peer = roster.hear(message, echoSentAt, sequence + 1, now);
+		if (peer === undefined) {
+			return [];
+		}
+
+		learnViews(message.viewMembers);
+		for (const digest of message.unknownViews ?? []) {
+			peer.membersSentBy.delete(digest);
+		}
+
+		const until = (echoSentAt ?? Number.NEGATIVE_INFINITY) + leaseDuration;
+		owner.lend(peer.id, until, message.views, now);
+		if (until > now) {
+			lastContact = Math.max(lastContact, now);
+		}
+
+		refreshLending(now);
+		onHoldings?.(peer.id, message.holdings ?? [], now);
+		// Peers learn at once who gets the shares that the leaving instance has given up.
+		return message.leaving && !wasLeaving ? beat(now) : [];
+	}
+
+	function receiveHandover(message: Handover) {
+		const echoSentAt = sentTimes.get(message.echo);
+		if (message.to === self && echoSentAt !== undefined) {
+			owner.acceptHandover(message, echoSentAt);
+			learnViews(message.viewMembers);
+		}
+
+		return [];
+	}
+
+	const handlers: Handlers<MembershipMessage, number, Array<Outbound<MembershipMessage>>> = {
+		heartbeat: receiveHeartbeat,
+		handover: receiveHandover,
+	};
+
+	return {
+		self,
+		tick(now) {
+			roster.refresh(now);
+			refreshLending(now);
+			forgetOldSends(now);
+			forgetUnusedViews();
+			owner.sweep(now);
+			return [...beat(now), ...outboundHandovers()];
+		},
+		receive(message, now) {
+			const isForThis = message.to === self || message.to === ownAddress;
+			return isForThis && message.from !== self ? dispatch(handlers, message, now) : [];
+		},
+		observeInstances(list, now) {
+			ownListedState = list.find(({address}) => address === ownAddress);
+			roster.observeInstances(list);
+			refreshLending(now);
+		},
+		noteServiceReached(now) {
+			lastContact = Math.max(lastContact, now);
+		},
+		leave(now) {
+			if (isLeaving) {
+				return [];
+			}
+
+			handovers = prepareHandovers(now);
+			handoversLeft = handoverRepetitions;
+			return [...outboundHandovers(), ...beat(now)];
+		},
+		fraction: owner.fraction,
+		ownerOf: lender.ownerOf,
+		view(now) {
+			roster.refresh(now);
+			refreshLending(now);
+			return ownView;
+		},
+		isIsolated: now => now - lastContact >= isolationDelay,
+		configurations(now) {
+			return [...roster.peers()]
+				.filter(peer => peer.twoWayUntil > now && !peer.isReplaced)
+				.map(peer => ({
+					...peer.configuration,
+					confirmedAgo: peer.configuration.confirmedAgo + now - peer.heardAt,
+					from: peer.id,
+					failureDomain: roster.failureDomainOf(peer.id),
+				}));
+		},
+		failureDomainOf: instance =>
+			addressOf(instance) === ownAddress
+				? ownListedState?.failureDomain
+				: roster.failureDomainOf(instance),
+		status(now) {
+			const listedLive = roster.liveCount() + 1;
+			return {
+				view: ownView,
+				liveViewCount: lender.liveViews().length,
+				peers: roster.statuses(now),
+				listedLive,
+				exceedsMaxInstances: listedLive > maxInstances(),
+				isLeaving,
+			};
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy-membership/src/rendezvous.ts
@@ -0,0 +1,109 @@
+/**
+ * Rendezvous (highest random weight) hashing: every instance that knows the same members finds the
+ * same winner of a resource, and removing a member moves only the resources that it had won.
+ */
+import {createHash} from 'node:crypto';
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {type Resource} from './share-fraction.js';
+
+/** Identifies a set of members: 16 characters of the base64url SHA-256 of the sorted ids. */
+export type ViewDigest = string;
+
+/** An immutable set of members with its cached winners. */
+export type View = {
+	readonly digest: ViewDigest;
+	/** Sorted, without duplicates. */
+	readonly members: readonly InstanceId[];
+	has(instance: InstanceId): boolean;
+	/**
+	 * The member with the highest score, `undefined` in an empty view. The first look-up of a
+	 * resource is linear in the members; further ones are one map access.
+	 */
+	winner(resource: Resource): InstanceId | undefined;
+	/** All members, best first; not cached, O(n log n) in the members. */
+	ranking(resource: Resource): readonly InstanceId[];
+};
+
+const digestCharacters = 16;
+
+/** Entries per view. The planned size has 44,000 workspaces and a few thousand shards. */
+const winnerCacheLimit = 65_536;
+
+/* eslint-disable no-bitwise -- integer arithmetic on 32 bits */
+function mix(value: number): number {
+	let mixed = Math.imul(value ^ (value >>> 16), 0x85_eb_ca_6b);
+	mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2_b2_ae_35);
+	return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
+/** FNV-1a over UTF-16 code units with a final mix: 32 bits, not for secrets. */
+export function hashText(text: string): number {
+	let hash = 0x81_1c_9d_c5;
+	for (let index = 0; index < text.length; index++) {
+		// eslint-disable-next-line unicorn/prefer-code-point -- code units are enough for a hash
+		hash = Math.imul(hash ^ text.charCodeAt(index), 0x01_00_01_93);
+	}
+
+	return mix(hash);
+}
+
+function score(memberHash: number, resourceHash: number): number {
+	return mix(Math.imul(memberHash, 0x9e_37_79_b1) ^ resourceHash);
+}
+/* eslint-enable no-bitwise */
+
+export function createView(instances: Iterable<InstanceId>): View {
+	const members = [...new Set(instances)].sort();
+	const memberSet = new Set(members);
+	const hashes = members.map(member => hashText(member));
+	const winners = new Map<Resource, InstanceId>();
+
+	function findWinner(resource: Resource): InstanceId | undefined {
+		const resourceHash = hashText(resource);
+		let best: InstanceId | undefined;
+		let bestScore = -1;
+		// Equal scores go to the member that sorts first.
+		for (const [index, member] of members.entries()) {
+			const memberScore = score(hashes[index]!, resourceHash);
+			if (memberScore > bestScore) {
+				best = member;
+				bestScore = memberScore;
+			}
+		}
+
+		return best;
+	}
+
+	return {
+		digest: createHash('sha256')
+			.update(members.join('\n'))
+			.digest('base64url')
+			.slice(0, digestCharacters),
+		members,
+		has: instance => memberSet.has(instance),
+		winner(resource) {
+			const cached = winners.get(resource);
+			if (cached !== undefined) {
+				return cached;
+			}
+
+			const found = findWinner(resource);
+			if (found !== undefined) {
+				if (winners.size >= winnerCacheLimit) {
+					winners.clear();
+				}
+
+				winners.set(resource, found);
+			}
+
+			return found;
+		},
+		ranking(resource) {
+			const resourceHash = hashText(resource);
+			return members
+				.map((member, index) => ({member, rank: score(hashes[index]!, resourceHash)}))
+				.sort((left, right) => right.rank - left.rank)
+				.map(({member}) => member);
+		},
+	};
+}
