--- /dev/null
+++ b/packages/io-http/src/__tests__/support.ts
@@ -0,0 +1,232 @@
+/** Shared set-up of the tests: a listener with a policy that a test can steer, and raw sockets. */
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import net from 'node:net';
+import {digestKey} from '@shallotpond/configuration/key-digest';
+import {createLookupTables, type LookupTables} from '@shallotpond/configuration/lookup-tables';
+import {documentSchema} from '@shallotpond/configuration/document-schema';
+import {createSystemClock} from '@shallotpond/kernel/clock';
+import {createSteerableClock} from '@shallotpond/testkit/steerable-clock';
+import {
+	createStandInTarget,
+	type StandInTarget,
+	type StandInTargetOptions,
+} from '@shallotpond/testkit/stand-in-target';
+import {createCallerListener, type CallerListenerOptions} from '../caller-listener.js';
+import {type AttemptOutcome, type RequestPolicy, type Refusal} from '../request-policy.js';
+
+export const key = 'secret-key-of-reed';
+export const otherKey = 'secret-key-of-moss';
+
+export type FixtureOptions = {
+	readonly targets?: number;
+	readonly routes?: ReadonlyArray<Record<string, unknown>>;
+	readonly service?: Record<string, unknown>;
+	readonly target?: StandInTargetOptions;
+	readonly listener?: Partial<CallerListenerOptions>;
+	readonly policy?: Partial<RequestPolicy>;
+	/** Uses a clock that only the test advances. */
+	readonly isSteered?: boolean;
+};
+
+export async function createFixture(options: FixtureOptions = {}) {
+	const targets: StandInTarget[] = [];
+	for (let index = 0; index < (options.targets ?? 2); index++) {
+		const target = createStandInTarget(options.target);
+		await target.start();
+		targets.push(target);
+	}
+
+	const source = {
+		version: 1,
+		fleet: {maxInstances: 1},
+		failureDomains: {a: {}, b: {}},
+		services: {
+			roster: {
+				slots: 4,
+				...options.service,
+				targets: targets.map(({address}, index) => ({
+					id: `t${index}`,
+					address,
+					failureDomain: index % 2 === 0 ? 'a' : 'b',
+				})),
+			},
+		},
+		routes: options.routes ?? [
+			{id: 'main', pathPrefix: '/', service: 'roster', timeout: 5000, keyQueryParameter: 'apikey'},
+		],
+		workspaces: {
+			reed: {rate: 1, burst: 1, keyDigests: [digestKey(key)]},
+			moss: {rate: 1, burst: 1, keyDigests: [digestKey(otherKey)]},
+		},
+	};
+	const state = {
+		tables: createLookupTables(documentSchema.parse(source)) as LookupTables | undefined,
+		retries: 100,
+		outcomes: [] as Array<AttemptOutcome & {readonly target: string}>,
+		crashes: [] as string[],
+		counts: new Map<string, number>(),
+		internalErrors: [] as unknown[],
+		openGrants: 0,
+	};
+
+	function withdraw(): void {
+		const document = structuredClone(source);
+		document.version++;
+		document.workspaces.reed.keyDigests = [];
+		state.tables = createLookupTables(documentSchema.parse(document));
+	}
+
+	const refusal: Refusal = {
+		kind: 'refused',
+		code: 'no-target',
+		status: 503,
+		detail: 'No target is left',
+		runState: 'not-run',
+	};
+	const policy: RequestPolicy = {
+		tables: () => state.tables,
+		isIsolated: () => false,
+		admit: async () => ({kind: 'admitted'}),
+		async acquireSlot(request) {
+			const definitions = state.tables!.document.services.roster!.targets;
+			const target = definitions.find(({id}) => !request.excludedTargets.includes(id));
+			if (target === undefined) {
+				return refusal;
+			}
+
+			state.openGrants++;
+			return {
+				kind: 'granted',
+				target,
+				signal: new AbortController().signal,
+				release(outcome) {
+					state.openGrants--;
+					state.outcomes.push({...outcome, target: target.id});
+				},
+			};
+		},
+		claimIdempotencyKey: async () => ({kind: 'claimed', settle: () => undefined}),
+		checkFingerprint: async () => undefined,
+		reportCrash: (_fingerprint, target) => void state.crashes.push(target),
+		countRequest: () => undefined,
+		takeRetry: () => state.retries-- > 0,
+		...options.policy,
+	};
+	const clock = createSteerableClock();
+	const listener = createCallerListener({
+		policy,
+		clock: options.isSteered === true ? clock : createSystemClock(),
+		address: '127.0.0.1',
+		port: 0,
+		counters: {
+			increment(name, label = '') {
+				const id = `${name} ${label}`.trim();
+				state.counts.set(id, (state.counts.get(id) ?? 0) + 1);
+			},
+		},
+		onInternalError: error => void state.internalErrors.push(error),
+		...options.listener,
+		limits: {keepAliveTimeout: 500, connectionCheckInterval: 50, ...options.listener?.limits},
+	});
+	await listener.start();
+	return {
+		targets,
+		target: targets[0]!,
+		state,
+		listener,
+		clock,
+		policy,
+		withdraw,
+		received: () => targets.flatMap(target => [...target.requests]),
+		async stop() {
+			for (const target of targets) {
+				await target.stop();
+			}
+
+			await listener.stop();
+		},
+	};
+}
+
+export type Fixture = Awaited<ReturnType<typeof createFixture>>;
+
+export type Answer = {
+	readonly status: number;
+	readonly headers: http.IncomingHttpHeaders;
+	readonly body: string;
+	/** Set when the connection ended before the answer did; the rest is what came. */
+	readonly error: string | undefined;
+};
+
+/** Sends one request on a connection of its own. Never rejects. */
+export async function send(
+	fixture: Fixture,
+	options: http.RequestOptions & {readonly body?: string} = {},
+): Promise<Answer> {
+	return new Promise(resolve => {
+		const {body, headers, ...rest} = options;
+		const request = http.request({
+			host: '127.0.0.1',
+			port: fixture.listener.port,
+			agent: false,
+			headers: headers ?? {'x-api-key': key},
+			...rest,
+		});
+		request.on('error', error => {
+			resolve({status: 0, headers: {}, body: '', error: error.message});
+		});
+		request.on('response', response => {
+			const chunks: Uint8Array[] = [];
+			const finish = (error?: string) => {
+				const {statusCode: status = 0} = response;
+				resolve({status, headers: response.headers, body: String(Buffer.concat(chunks)), error});
+			};
+
+			response.on('data', (chunk: Uint8Array) => void chunks.push(chunk));
+			response.on('end', () => {
+				finish();
+			});
+			response.on('error', error => {
+				finish(error.message);
+			});
+		});
+		request.end(body);
+	});
+}
+
+/** Writes bytes to a connection and resolves with all that came until it closed. */
+export async function sendRaw(fixture: Fixture, bytes: string): Promise<string> {
+	return new Promise(resolve => {
+		let text = '';
+		const socket = net.connect(fixture.listener.port, '127.0.0.1', () => {
+			socket.write(bytes, 'latin1');
+		});
+		socket.setEncoding('latin1');
+		socket.on('data', chunk => {
+			text += String(chunk);
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			resolve(text);
+		});
+	});
+}
+
+/** Resolves when the condition holds. The limit only ends a test that would hang. */
+export async function until(condition: () => boolean): Promise<void> {
+	for (let tries = 0; !condition(); tries++) {
+		if (tries > 2000) {
+			throw new Error('the condition did not come true within 10 s');
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+}
+
+export function problemOf(answer: Answer): {code: string; outcome: string} {
+	const {code, outcome} = JSON.parse(answer.body) as {code: string; outcome: string};
+	return {code, outcome};
+}
--- /dev/null
+++ b/packages/io-http/src/answer-checks.ts
@@ -0,0 +1,121 @@
+/**
+ * Checks of the head of a target's answer: framing that proves where the body ends, the
+ * expectations of the route, shed answers, and the parts of a resumed download.
+ */
+import {type IncomingMessage} from 'node:http';
+import {type RouteDefinition} from '@shallotpond/configuration/document-schema';
+import {valuesOf} from './request-checks.js';
+
+/** Statuses whose body is a representation of the resource, which a route can expect to be whole. */
+const representationStatuses: ReadonlySet<number> = new Set([200, 203]);
+
+export function hasBody(method: string, status: number): boolean {
+	return method !== 'HEAD' && status !== 204 && status !== 304;
+}
+
+/**
+ * Whether the framing tells the end of the body. A body that ends with the connection looks the
+ * same when it is cut, so it is refused.
+ */
+export function isFramed(method: string, answer: IncomingMessage): boolean {
+	const lengths = valuesOf(answer.rawHeaders, 'content-length');
+	const encodings = valuesOf(answer.rawHeaders, 'transfer-encoding');
+	if (!hasBody(method, answer.statusCode!)) {
+		return lengths.length < 2;
+	}
+
+	if (encodings.length === 0) {
+		return lengths.length === 1 && /^\d{1,15}$/.test(lengths[0]!);
+	}
+
+	return (
+		lengths.length === 0 && encodings.length === 1 && encodings[0]!.toLowerCase() === 'chunked'
+	);
+}
+
+/** Bytes; undefined where the body is chunked. */
+export function contentLengthOf(answer: IncomingMessage): number | undefined {
+	const length = answer.headers['content-length'];
+	return length === undefined ? undefined : Number(length);
+}
+
+/** Whether the target says that it did not run the request, and after how many milliseconds to try. */
+export function readShed(answer: IncomingMessage): {readonly retryAfter: number} | undefined {
+	const seconds = answer.headers['retry-after'];
+	const isShed = answer.statusCode === 503 && answer.headers['x-shed'] === 'not-run';
+	if (!isShed || seconds === undefined) {
+		return undefined;
+	}
+
+	return {retryAfter: /^\d{1,6}$/.test(seconds) ? Number(seconds) * 1000 : 1000};
+}
+
+/** Bytes that a complete answer must have. */
+export function smallestBodyOf(route: RouteDefinition, method: string, status: number): number {
+	const {smallestBody} = route.expectation;
+	const isEmptyPreview = status === 204 && method === 'GET';
+	const isChecked = isEmptyPreview || (method !== 'HEAD' && representationStatuses.has(status));
+	return isChecked ? smallestBody : 0;
+}
+
+/** Whether the media type of a successful answer is one that the route expects. */
+export function hasExpectedType(route: RouteDefinition, answer: IncomingMessage): boolean {
+	const {contentTypes} = route.expectation;
+	if (contentTypes.length === 0 || !representationStatuses.has(answer.statusCode!)) {
+		return true;
+	}
+
+	const mediaType = (answer.headers['content-type'] ?? '').split(';', 1)[0]!.trim().toLowerCase();
+	return contentTypes.includes(mediaType);
+}
+
+export type Download = {
+	/** Strong entity tag. */
+	readonly etag: string;
+	/** Bytes of the whole; undefined while unknown. */
+	readonly total: number | undefined;
+};
+
+/**
+ * What is needed to continue this answer elsewhere; undefined where that is not safe. Only a strong
+ * tag promises equal bytes. The caller's own ranges and conditions are left alone.
+ */
+export function readDownload(
+	method: string,
+	headers: readonly string[],
+	answer: IncomingMessage,
+): Download | undefined {
+	const {etag} = answer.headers;
+	const isStrong = etag !== undefined && /^"[!#-~\u0080-\u00FF]*"$/.test(etag);
+	const isPartial = valuesOf(headers, 'range').length > 0;
+	if (method !== 'GET' || answer.statusCode !== 200 || !isStrong || isPartial) {
+		return undefined;
+	}
+
+	return {etag, total: contentLengthOf(answer)};
+}
+
+/** Whether a 206 answer continues the download at exactly the byte `received`. */
+export function continuesDownload(
+	answer: IncomingMessage,
+	download: Download,
+	received: number,
+): boolean {
+	const range = /^bytes (?<first>\d{1,15})-(?<last>\d{1,15})\/(?<total>\d{1,15})$/.exec(
+		answer.headers['content-range'] ?? '',
+	)?.groups;
+	if (answer.statusCode !== 206 || answer.headers.etag !== download.etag || range === undefined) {
+		return false;
+	}
+
+	const first = Number(range.first);
+	const last = Number(range.last);
+	const total = Number(range.total);
+	const length = contentLengthOf(answer);
+	return (
+		first === received &&
+		last === total - 1 &&
+		total === (download.total ?? total) &&
+		(length === undefined || length === total - first)
+	);
+}
--- /dev/null
+++ b/packages/io-http/src/answer-pump.ts
@@ -0,0 +1,151 @@
+/**
+ * Moves the body of an answer to the caller with back-pressure, and says how it ended. The head of
+ * the answer is held back together with the first bytes of the body, so that an answer that turns
+ * out blank or cut early can still be replaced.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {onAbort} from './cancellation.js';
+import {createSilenceTimer} from './silence-timer.js';
+
+export type PumpEnd =
+	/** All bytes that the framing promises have arrived. */
+	| 'complete'
+	/** Complete, but smaller than the route expects; nothing was passed on. */
+	| 'blank'
+	/** The connection ended before the framing said so. */
+	| 'cut'
+	/** The target sent nothing for too long. */
+	| 'stalled'
+	/** One of the signals, or a caller that takes no bytes. */
+	| 'cancelled';
+
+export type PumpOptions = {
+	readonly clock: Clock;
+	readonly answer: IncomingMessage;
+	readonly response: ServerResponse;
+	/** Called before the first byte is passed on. */
+	readonly begin: () => void;
+	/** Bytes of the body to wait for before anything is passed on; 0 where the answer has begun. */
+	readonly holdBytes: number;
+	/** Smallest complete body, bytes. */
+	readonly smallestBody: number;
+	/** Longest silence of the target, milliseconds. */
+	readonly stallTimeout: number;
+	/** Longest time in which the caller takes nothing, milliseconds. */
+	readonly callerStallTimeout: number;
+	readonly signals: readonly AbortSignal[];
+};
+
+export type PumpResult = {
+	readonly end: PumpEnd;
+	/** Bytes passed on to the caller. */
+	readonly passedOn: number;
+};
+
+/** Never rejects. Leaves the answer to be destroyed by the caller of this function. */
+export async function pumpAnswer(options: PumpOptions): Promise<PumpResult> {
+	const {clock, answer, response} = options;
+	return new Promise(resolve => {
+		const held: Uint8Array[] = [];
+		let heldBytes = 0;
+		let passedOn = 0;
+		let hasBegun = false;
+		let isDone = false;
+		const targetTimer = createSilenceTimer(clock, options.stallTimeout, () => {
+			finish('stalled');
+		});
+		const callerTimer = createSilenceTimer(clock, options.callerStallTimeout, () => {
+			finish('cancelled');
+		});
+		callerTimer.suspend();
+		let stopListening: () => void = () => undefined;
+
+		function finish(end: PumpEnd): void {
+			if (isDone) {
+				return;
+			}
+
+			isDone = true;
+			targetTimer.stop();
+			callerTimer.stop();
+			stopListening();
+			answer.off('data', receive).off('end', complete).off('close', cut);
+			response.off('drain', goOn);
+			resolve({end, passedOn});
+		}
+
+		function passOn(chunk: Uint8Array): void {
+			passedOn += chunk.length;
+			if (!response.write(chunk)) {
+				// While the caller reads slowly, the silence of the target is not its fault.
+				answer.pause();
+				targetTimer.suspend();
+				callerTimer.touch();
+			}
+		}
+
+		function begin(): void {
+			hasBegun = true;
+			options.begin();
+			if (heldBytes > 0) {
+				passOn(held.length === 1 ? held[0]! : Buffer.concat(held, heldBytes));
+				held.length = 0;
+			}
+		}
+
+		function receive(chunk: Uint8Array): void {
+			targetTimer.touch();
+			if (hasBegun) {
+				passOn(chunk);
+				return;
+			}
+
+			held.push(chunk);
+			heldBytes += chunk.length;
+			if (heldBytes >= options.holdBytes) {
+				begin();
+			}
+		}
+
+		function goOn(): void {
+			callerTimer.suspend();
+			targetTimer.touch();
+			answer.resume();
+		}
+
+		function complete(): void {
+			if (!answer.complete) {
+				finish('cut');
+				return;
+			}
+
+			if (!hasBegun) {
+				if (heldBytes < options.smallestBody) {
+					finish('blank');
+					return;
+				}
+
+				begin();
+			}
+
+			finish('complete');
+		}
+
+		function cut(): void {
+			finish('cut');
+		}
+
+		answer.on('data', receive).on('end', complete).on('close', cut);
+		// Without a listener, the error of a cut answer would end the process; 'close' follows it.
+		answer.on('error', () => undefined);
+		response.on('drain', goOn);
+		stopListening = onAbort(options.signals, () => {
+			finish('cancelled');
+		});
+		if (answer.destroyed && !answer.complete) {
+			finish('cut');
+		}
+	});
+}
--- /dev/null
+++ b/packages/io-http/src/attempt.ts
@@ -0,0 +1,164 @@
+/**
+ * One try of a request at one target, up to the head of the answer. Says truthfully whether a byte
+ * of the request may have reached the target. A try that fails destroys its connection.
+ */
+import http, {type IncomingMessage} from 'node:http';
+import https from 'node:https';
+import {type Socket} from 'node:net';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {
+	type ServiceDefinition,
+	type TargetDefinition,
+} from '@shallotpond/configuration/document-schema';
+import {onAbort} from './cancellation.js';
+import {type BodyFailure, type RequestBody} from './request-body.js';
+import {type AttemptResult} from './request-policy.js';
+import {type TargetConnections} from './target-connections.js';
+
+export type AttemptOptions = {
+	readonly clock: Clock;
+	readonly connections: TargetConnections;
+	readonly target: TargetDefinition;
+	readonly service: ServiceDefinition;
+	/** Idle connections that the target may have from this instance. */
+	readonly idleLimit: number;
+	readonly method: string;
+	/** Path with query. */
+	readonly path: string;
+	/** Names and values by turns, framing included. */
+	readonly headers: readonly string[];
+	readonly body: RequestBody;
+	/** Milliseconds for a connection. */
+	readonly connectTimeout: number;
+	/** Milliseconds after which `mayGiveUp` is asked whether to give up early. */
+	readonly softTimeout: number;
+	/** Milliseconds after which the try ends in any case. */
+	readonly hardTimeout: number;
+	readonly mayGiveUp: () => boolean;
+	/** Any of them ends the try. */
+	readonly signals: readonly AbortSignal[];
+};
+
+export type AttemptFailure = {
+	readonly kind: 'failed';
+	readonly result: AttemptResult;
+	/** Whether the target may have got a byte of the request. */
+	readonly wasWritten: boolean;
+	/** Set where the caller did not deliver its body. */
+	readonly bodyFailure?: BodyFailure;
+};
+
+export type AttemptAnswer = {
+	readonly kind: 'answered';
+	readonly answer: IncomingMessage;
+	/** Destroys the connection. */
+	destroy(): void;
+};
+
+/** Makes a connection count as written to from the moment at which it can carry bytes. */
+function watchConnection(
+	request: http.ClientRequest,
+	socket: Socket,
+	isSecure: boolean,
+	onConnected: () => void,
+): void {
+	if (request.reusedSocket || !socket.connecting) {
+		onConnected();
+	} else {
+		socket.once(isSecure ? 'secureConnect' : 'connect', onConnected);
+	}
+}
+
+/** Never rejects. */
+export async function startAttempt(
+	options: AttemptOptions,
+): Promise<AttemptFailure | AttemptAnswer> {
+	const {clock, connections, target, service, body} = options;
+	if (!connections.hasRoom(target, service)) {
+		return {kind: 'failed', result: 'connection-failed', wasWritten: false};
+	}
+
+	return new Promise(resolve => {
+		let isSettled = false;
+		let wasWritten = false;
+		const request = (service.tls ? https : http).request({
+			...connections.optionsFor(target, service),
+			method: options.method,
+			path: options.path,
+			// The types of Node 20 do not name the flat list, which its documentation allows.
+			headers: options.headers as unknown as http.OutgoingHttpHeaders,
+		});
+		request.maxHeadersCount = 0;
+
+		const cancelConnectTimer = clock.after(options.connectTimeout, () => {
+			if (!wasWritten) {
+				fail('connection-failed');
+			}
+		});
+		const cancelSoftTimer = clock.after(options.softTimeout, () => {
+			if (!isSettled && options.mayGiveUp()) {
+				failSilent();
+			}
+		});
+		const cancelHardTimer = clock.after(options.hardTimeout, failSilent);
+		let stopListening: () => void = () => undefined;
+
+		function settle(result: AttemptFailure | AttemptAnswer): void {
+			if (isSettled) {
+				return;
+			}
+
+			isSettled = true;
+			cancelConnectTimer();
+			cancelSoftTimer();
+			cancelHardTimer();
+			stopListening();
+			resolve(result);
+		}
+
+		function fail(result: AttemptResult, bodyFailure?: BodyFailure): void {
+			settle({kind: 'failed', result, wasWritten, bodyFailure});
+			request.destroy();
+		}
+
+		function failSilent(): void {
+			// The idle connections to a silent target may be dead as well.
+			connections.discardIdle(target);
+			fail(wasWritten ? 'timeout' : 'connection-failed');
+		}
+
+		function failBroken(): void {
+			fail(wasWritten ? 'connection-broken' : 'connection-failed');
+		}
+
+		request.on('socket', socket => {
+			connections.register(socket, target, options.idleLimit);
+			watchConnection(request, socket, service.tls, () => {
+				wasWritten = true;
+			});
+		});
+		request.on('error', failBroken);
+		request.on('close', failBroken);
+		request.on('upgrade', (_answer, socket) => {
+			socket.destroy();
+			fail('incomplete');
+		});
+		request.on('response', answer => {
+			settle({
+				kind: 'answered',
+				answer,
+				destroy() {
+					request.destroy();
+				},
+			});
+		});
+		stopListening = onAbort(options.signals, () => {
+			fail('cancelled');
+		});
+		if (!isSettled) {
+			body.sendTo(request, bodyFailure => {
+				fail('cancelled', bodyFailure);
+			});
+		}
+	});
+}
--- /dev/null
+++ b/packages/io-http/src/caller-key.ts
@@ -0,0 +1,137 @@
+/**
+ * Finds the caller's key and removes it. The key may come as `Authorization: Bearer`, as
+ * `X-Api-Key`, or in the query parameter that the route names. Whatever carries it is removed, also
+ * where the key is not needed, so that no target ever sees it.
+ */
+export type FoundKey =
+	| {readonly kind: 'none'}
+	| {readonly kind: 'found'; readonly key: string}
+	/** Two different keys: which workspace pays would depend on the order of the headers. */
+	| {readonly kind: 'ambiguous'};
+
+export type SplitUrl = {
+	readonly path: string;
+	/** Without the question mark; empty where there is none. */
+	readonly query: string;
+};
+
+const credentialHeaders: ReadonlySet<string> = new Set([
+	'authorization',
+	'x-api-key',
+	'proxy-authorization',
+]);
+
+function decodeQueryPart(part: string): string {
+	try {
+		return decodeURIComponent(part.replaceAll('+', ' '));
+	} catch {
+		return part;
+	}
+}
+
+function nameOf(parameter: string): string {
+	const end = parameter.indexOf('=');
+	return decodeQueryPart(end === -1 ? parameter : parameter.slice(0, end));
+}
+
+function valueOf(parameter: string): string {
+	const end = parameter.indexOf('=');
+	return end === -1 ? '' : decodeQueryPart(parameter.slice(end + 1));
+}
+
+function keyFromHeader(name: string, value: string): string | undefined {
+	if (name === 'x-api-key') {
+		return value.trim();
+	}
+
+	if (name === 'authorization') {
+		return /^bearer +(?<key>\S+) *$/i.exec(value)?.groups?.key;
+	}
+
+	return undefined;
+}
+
+/**
+ * Looks at every header line and query parameter, so that a second key cannot hide behind the
+ * first. Linear in the number of headers.
+ *
+ * @param rawHeaders - Names and values by turns, as `IncomingMessage.rawHeaders`.
+ * @param query - Query without the question mark.
+ */
+export function findCallerKey(
+	rawHeaders: readonly string[],
+	query: string,
+	keyQueryParameter: string | undefined,
+): FoundKey {
+	const keys = new Set<string>();
+	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+		const key = keyFromHeader(rawHeaders[index]!.toLowerCase(), rawHeaders[index + 1]!);
+		if (key !== undefined && key !== '') {
+			keys.add(key);
+		}
+	}
+
+	if (keyQueryParameter !== undefined && query !== '') {
+		for (const parameter of query.split('&')) {
+			if (nameOf(parameter) === keyQueryParameter && valueOf(parameter) !== '') {
+				keys.add(valueOf(parameter));
+			}
+		}
+	}
+
+	const [key] = keys;
+	if (key === undefined) {
+		return {kind: 'none'};
+	}
+
+	return keys.size === 1 ? {kind: 'found', key} : {kind: 'ambiguous'};
+}
+
+/** Removes every parameter with that name, and leaves the bytes of the others unchanged. */
+export function removeKeyParameter(query: string, keyQueryParameter: string | undefined): string {
+	if (keyQueryParameter === undefined || query === '') {
+		return query;
+	}
+
+	return query
+		.split('&')
+		.filter(parameter => nameOf(parameter) !== keyQueryParameter)
+		.join('&');
+}
+
+/** Whether the text contains the key, as it is or percent-encoded. */
+export function containsKey(text: string, key: string): boolean {
+	return text.includes(key) || (/[%+]/.test(text) && decodeQueryPart(text).includes(key));
+}
+
+function removeKeyCookies(cookies: string, key: string): string {
+	return cookies
+		.split(';')
+		.filter(pair => !containsKey(pair, key))
+		.map(pair => pair.trim())
+		.join('; ');
+}
+
+/**
+ * The value that a target may see, or undefined where the header must go. `name` is in lower case.
+ */
+export function cleanHeaderValue(
+	name: string,
+	value: string,
+	key: string | undefined,
+): string | undefined {
+	if (credentialHeaders.has(name)) {
+		return undefined;
+	}
+
+	if (key === undefined) {
+		return value;
+	}
+
+	if (name === 'cookie') {
+		const kept = removeKeyCookies(value, key);
+		return kept === '' ? undefined : kept;
+	}
+
+	return containsKey(value, key) || name.includes(key.toLowerCase()) ? undefined : value;
+}
--- /dev/null
+++ b/packages/io-http/src/cancellation.ts
@@ -0,0 +1,52 @@
+/**
+ * One request's reasons to end early. The first reason stays; `signal` aborts with it.
+ */
+export type CancellationReason = 'caller-gone' | 'key-withdrawn' | 'stopped';
+
+export type Cancellation = {
+	readonly signal: AbortSignal;
+	readonly reason: CancellationReason | undefined;
+	cancel(reason: CancellationReason): void;
+};
+
+export function createCancellation(): Cancellation {
+	const controller = new AbortController();
+	let reason: CancellationReason | undefined;
+	return {
+		signal: controller.signal,
+		get reason() {
+			return reason;
+		},
+		cancel(newReason) {
+			if (reason === undefined) {
+				reason = newReason;
+				controller.abort();
+			}
+		},
+	};
+}
+
+/** Calls back once when any of the signals aborts, at once where one already has. */
+export function onAbort(signals: readonly AbortSignal[], callback: () => void): () => void {
+	function stop(): void {
+		for (const signal of signals) {
+			signal.removeEventListener('abort', handle);
+		}
+	}
+
+	function handle(): void {
+		stop();
+		callback();
+	}
+
+	if (signals.some(signal => signal.aborted)) {
+		callback();
+		return () => undefined;
+	}
+
+	for (const signal of signals) {
+		signal.addEventListener('abort', handle);
+	}
+
+	return stop;
+}
--- /dev/null
+++ b/packages/io-http/src/forwarder.ts
@@ -0,0 +1,557 @@
+/**
+ * Forwards one admitted request: takes a slot, tries a target, checks the answer and streams it to
+ * the caller. Tries again only where that keeps the promise that a request which is not idempotent
+ * runs at most once.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {type RouteDefinition} from '@shallotpond/configuration/document-schema';
+import {
+	contentLengthOf,
+	continuesDownload,
+	hasBody,
+	hasExpectedType,
+	isFramed,
+	readDownload,
+	readShed,
+	smallestBodyOf,
+	type Download,
+} from './answer-checks.js';
+import {pumpAnswer, type PumpResult} from './answer-pump.js';
+import {startAttempt, type AttemptAnswer, type AttemptFailure} from './attempt.js';
+import {type Cancellation} from './cancellation.js';
+import {createCallerHeaders} from './forwarded-headers.js';
+import {type HttpCounters} from './http-counters.js';
+import {type HttpLimits} from './http-limits.js';
+import {
+	createProblem,
+	problemFromRefusal,
+	type Problem,
+	type ProblemCode,
+} from './problem-response.js';
+import {type RequestBody} from './request-body.js';
+import {
+	type AttemptResult,
+	type RequestPolicy,
+	type RunState,
+	type SlotGrant,
+} from './request-policy.js';
+import {type RequestSpan} from './request-tracer.js';
+import {idleConnectionLimit, type TargetConnections} from './target-connections.js';
+
+export type ForwarderOptions = {
+	readonly policy: RequestPolicy;
+	readonly clock: Clock;
+	readonly limits: HttpLimits;
+	readonly counters: HttpCounters;
+	readonly connections: TargetConnections;
+	/** Whether answers carry `Connection: close`. */
+	readonly isLeaving: () => boolean;
+};
+
+export type ForwardedRequest = {
+	readonly route: RouteDefinition;
+	readonly workspace: string;
+	/** Undefined on open routes without a key. */
+	readonly keyDigest: string | undefined;
+	readonly method: string;
+	/** Path with query, without the key. */
+	readonly path: string;
+	/** Names and values by turns, without the key, framing, deadline and trace. */
+	readonly headers: readonly string[];
+	readonly body: RequestBody;
+	/** Digest of workspace, method, path and body. */
+	readonly fingerprint: string;
+	/** Monotonic milliseconds until which the head of an answer must have come. */
+	readonly deadline: number;
+	readonly cancellation: Cancellation;
+	readonly span: RequestSpan;
+	readonly response: ServerResponse;
+};
+
+export type ForwardResult =
+	/** A whole answer was passed on. */
+	| {readonly kind: 'delivered'}
+	/** Nothing was passed on. */
+	| {readonly kind: 'problem'; readonly problem: Problem}
+	/** A part was passed on; the caller's connection must be reset. */
+	| {readonly kind: 'reset'; readonly reason: string; readonly outcome: RunState};
+
+export type Forwarder = {
+	/** Never rejects because of a target. */
+	forward(request: ForwardedRequest): Promise<ForwardResult>;
+};
+
+/** Why a try did not end the request. */
+type Setback = {
+	readonly kind: 'setback';
+	readonly code: ProblemCode;
+	/** Whether this try ran. */
+	readonly runState: RunState;
+	/** Milliseconds. */
+	readonly retryAfter?: number;
+	/** Whether another try is out of the question, whatever the method. */
+	readonly isFinal?: boolean;
+};
+
+type Progress = {
+	attempts: number;
+	crashes: number;
+	/** The worst of all tries. */
+	runState: RunState;
+	readonly triedTargets: string[];
+	readonly triedDomains: string[];
+	deadline: number;
+	hasBegun: boolean;
+	/** Bytes passed on to the caller. */
+	received: number;
+	/** Set while the answer in progress can be continued at another target. */
+	download: Download | undefined;
+};
+
+/** A request that crashes targets reaches at most this many. */
+const crashesPerRequest = 2;
+const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
+const runStateOrder: readonly RunState[] = ['not-run', 'may-have-run', 'ran'];
+
+export function worseRunState(one: RunState, other: RunState): RunState {
+	return runStateOrder.indexOf(one) > runStateOrder.indexOf(other) ? one : other;
+}
+
+const failureCodes: Readonly<Partial<Record<AttemptResult, ProblemCode>>> = {
+	timeout: 'deadline-exceeded',
+	'connection-failed': 'target-unreachable',
+	'connection-broken': 'connection-broken',
+	incomplete: 'incomplete-answer',
+	cancelled: 'cancelled',
+};
+
+function setbackOf(failure: AttemptFailure): Setback {
+	const runState = failure.wasWritten ? 'may-have-run' : 'not-run';
+	if (failure.bodyFailure !== undefined) {
+		const code = failure.bodyFailure === 'too-large' ? 'body-too-large' : 'request-timeout';
+		return {kind: 'setback', code, runState, isFinal: true};
+	}
+
+	return {kind: 'setback', code: failureCodes[failure.result] ?? 'cancelled', runState};
+}
+
+function resetWith(reason: string, outcome: RunState): ForwardResult {
+	return {kind: 'reset', reason, outcome};
+}
+
+/** Framing, deadline, trace and range headers of one try. */
+function createAttemptHeaders(
+	request: ForwardedRequest,
+	progress: Progress,
+	timeLeft: number,
+	traceparent: string | undefined,
+): string[] {
+	const headers: string[] = [];
+	for (let index = 0; index < request.headers.length; index += 2) {
+		const name = request.headers[index]!;
+		if (traceparent === undefined || name.toLowerCase() !== 'traceparent') {
+			headers.push(name, request.headers[index + 1]!);
+		}
+	}
+
+	headers.push('x-request-deadline', String(Math.max(1, Math.floor(timeLeft))));
+	if (traceparent !== undefined) {
+		headers.push('traceparent', traceparent);
+	}
+
+	const {length} = request.body;
+	if (length === undefined) {
+		headers.push('transfer-encoding', 'chunked');
+	} else if (length > 0 || !bodilessMethods.has(request.method)) {
+		headers.push('content-length', String(length));
+	}
+
+	if (progress.download !== undefined) {
+		headers.push('range', `bytes=${progress.received}-`, 'if-range', progress.download.etag);
+	}
+
+	return headers;
+}
+
+export function createForwarder(options: ForwarderOptions): Forwarder {
+	const {policy, clock, limits, counters, connections} = options;
+
+	function isIdempotent(request: ForwardedRequest): boolean {
+		return request.route.idempotentMethods.includes(request.method);
+	}
+
+	/** Checks again what may have changed while the request waited for its slot. */
+	function recheck(request: ForwardedRequest, grant: SlotGrant): 'ok' | 'withdrawn' | 'moved' {
+		const tables = policy.tables();
+		const {keyDigest, workspace} = request;
+		if (keyDigest !== undefined && tables?.isActiveKeyDigest(keyDigest, workspace) !== true) {
+			return 'withdrawn';
+		}
+
+		const isTargetOpen =
+			!grant.signal.aborted &&
+			tables?.findTarget(grant.target.id)?.address === grant.target.address &&
+			tables.isDomainActive(grant.target.failureDomain);
+		return isTargetOpen ? 'ok' : 'moved';
+	}
+
+	function hasAttemptsLeft(request: ForwardedRequest, progress: Progress): boolean {
+		return (
+			progress.attempts < limits.attempts &&
+			progress.crashes < crashesPerRequest &&
+			request.body.isReplayable &&
+			clock.monotonic() < progress.deadline
+		);
+	}
+
+	/** Connections that failed put no load on a target, so their retries cost no budget. */
+	function mayRetry(request: ForwardedRequest, progress: Progress, setback: Setback): boolean {
+		const isSafe = isIdempotent(request) || setback.runState === 'not-run';
+		if (setback.isFinal === true || !isSafe || !hasAttemptsLeft(request, progress)) {
+			return false;
+		}
+
+		return setback.code === 'target-unreachable' || policy.takeRetry();
+	}
+
+	function beginAnswer(request: ForwardedRequest, answer: IncomingMessage): void {
+		const headers = createCallerHeaders(answer.rawHeaders);
+		if (options.isLeaving()) {
+			headers.push('connection', 'close');
+		}
+
+		request.response.writeHead(answer.statusCode!, answer.statusMessage, headers);
+	}
+
+	function release(grant: SlotGrant, times: AttemptTimes, result: AttemptResult): void {
+		counters.increment('attempts', result);
+		const {dispatched, headAt, generation} = times;
+		const now = clock.monotonic();
+		const latency = (headAt ?? now) - dispatched;
+		grant.release({result, latency, slotTime: now - dispatched, generation});
+	}
+
+	/** Refuses an answer by its head; undefined where the body may follow. */
+	function checkAnswerHead(
+		request: ForwardedRequest,
+		progress: Progress,
+		answer: IncomingMessage,
+	): {readonly result: AttemptResult; readonly setback: Setback} | undefined {
+		const shed = readShed(answer);
+		if (shed !== undefined) {
+			const setback: Setback = {
+				kind: 'setback',
+				code: 'target-shed',
+				runState: 'not-run',
+				retryAfter: shed.retryAfter,
+			};
+			return {result: 'shed', setback};
+		}
+
+		const {download, received} = progress;
+		const isUsable =
+			download === undefined
+				? isFramed(request.method, answer) && hasExpectedType(request.route, answer)
+				: isFramed(request.method, answer) && continuesDownload(answer, download, received);
+		return isUsable
+			? undefined
+			: {
+					result: 'incomplete',
+					setback: {kind: 'setback', code: 'incomplete-answer', runState: 'ran'},
+				};
+	}
+
+	async function pump(
+		request: ForwardedRequest,
+		progress: Progress,
+		grant: SlotGrant,
+		answer: IncomingMessage,
+	): Promise<PumpResult> {
+		const {route, method, response} = request;
+		const smallestBody = progress.hasBegun ? 0 : smallestBodyOf(route, method, answer.statusCode!);
+		const length = hasBody(method, answer.statusCode!) ? contentLengthOf(answer) : 0;
+		const holdBytes =
+			length === undefined
+				? Math.max(1, smallestBody)
+				: Math.max(1, Math.min(length, limits.heldAnswerBytes));
+		const result = await pumpAnswer({
+			clock,
+			answer,
+			response,
+			begin() {
+				if (!progress.hasBegun) {
+					progress.hasBegun = true;
+					progress.download = isIdempotent(request)
+						? readDownload(method, request.headers, answer)
+						: undefined;
+					beginAnswer(request, answer);
+				}
+			},
+			holdBytes: progress.hasBegun ? 0 : holdBytes,
+			smallestBody,
+			stallTimeout: route.stallTimeout,
+			callerStallTimeout: limits.callerStallTimeout,
+			signals: [request.cancellation.signal, grant.signal],
+		});
+		progress.received += result.passedOn;
+		return result;
+	}
+
+	/** Streams the body of an acceptable answer and releases the slot. */
+	async function deliver(
+		request: ForwardedRequest,
+		progress: Progress,
+		answered: AnsweredAttempt,
+	): Promise<ForwardResult | Setback> {
+		const {grant, times, attempt} = answered;
+		const {answer} = attempt;
+		const {end} = await pump(request, progress, grant, answer);
+		if (end === 'complete') {
+			release(grant, times, answer.statusCode! >= 500 ? 'error' : 'ok');
+			endAnswer(request.response, answer);
+			return {kind: 'delivered'};
+		}
+
+		if (end === 'blank') {
+			release(grant, times, 'incomplete');
+			return {kind: 'setback', code: 'incomplete-answer', runState: 'ran'};
+		}
+
+		// The connection still owes bytes, so nothing may use it again.
+		attempt.destroy();
+		if (end === 'cancelled') {
+			release(grant, times, 'cancelled');
+			return {kind: 'setback', code: 'cancelled', runState: 'may-have-run'};
+		}
+
+		release(grant, times, end === 'stalled' ? 'timeout' : 'incomplete');
+		if (end === 'stalled') {
+			connections.discardIdle(grant.target);
+		}
+
+		return {kind: 'setback', code: 'incomplete-answer', runState: 'may-have-run'};
+	}
+
+	async function tryTarget(
+		request: ForwardedRequest,
+		progress: Progress,
+		grant: SlotGrant,
+	): Promise<ForwardResult | Setback> {
+		const tables = policy.tables()!;
+		const service = tables.document.services[request.route.service]!;
+		const dispatched = clock.monotonic();
+		const timeLeft = Math.max(1, progress.deadline - dispatched);
+		const hop = request.span.startHop('attempt', {target: grant.target.id});
+		progress.attempts++;
+		const attempt = await startAttempt({
+			clock,
+			connections,
+			target: grant.target,
+			service,
+			idleLimit: idleConnectionLimit(service, tables.document.fleet.maxInstances),
+			method: request.method,
+			path: request.path,
+			headers: createAttemptHeaders(request, progress, timeLeft, hop.traceparent),
+			body: request.body,
+			connectTimeout: limits.connectTimeout,
+			softTimeout: timeLeft * limits.attemptShare,
+			hardTimeout: timeLeft,
+			mayGiveUp: () =>
+				isIdempotent(request) && hasAttemptsLeft(request, progress) && policy.takeRetry(),
+			signals: [request.cancellation.signal, grant.signal],
+		});
+
+		if (attempt.kind === 'failed') {
+			release(grant, {dispatched}, attempt.result);
+			hop.end(attempt.result);
+			if (attempt.result === 'connection-broken') {
+				progress.crashes++;
+				policy.reportCrash(request.fingerprint, grant.target.id);
+			}
+
+			return setbackOf(attempt);
+		}
+
+		const {answer} = attempt;
+		const generation = answer.headers['x-target-generation'];
+		const times: AttemptTimes = {
+			dispatched,
+			headAt: clock.monotonic(),
+			generation: typeof generation === 'string' ? generation : undefined,
+		};
+		const refused = checkAnswerHead(request, progress, answer);
+		if (refused !== undefined) {
+			attempt.destroy();
+			release(grant, times, refused.result);
+			hop.end(refused.result);
+			return refused.setback;
+		}
+
+		const result = await deliver(request, progress, {grant, times, attempt});
+		hop.end(result.kind === 'setback' ? result.code : result.kind);
+		return result;
+	}
+
+	async function acquireGrant(
+		request: ForwardedRequest,
+		progress: Progress,
+	): Promise<SlotGrant | Problem> {
+		const hop = request.span.startHop('queue');
+		for (;;) {
+			const answer = await policy.acquireSlot({
+				workspace: request.workspace,
+				deadline: progress.deadline,
+				signal: request.cancellation.signal,
+				service: request.route.service,
+				excludedTargets: progress.triedTargets,
+				avoidedFailureDomains: progress.triedDomains,
+			});
+			if (answer.kind === 'refused') {
+				hop.end('refused');
+				return problemFromRefusal(answer);
+			}
+
+			const state = request.cancellation.signal.aborted ? 'cancelled' : recheck(request, answer);
+			if (state === 'ok') {
+				hop.end('ok');
+				return answer;
+			}
+
+			answer.release({result: 'cancelled', latency: 0, slotTime: 0});
+			if (state !== 'moved' || clock.monotonic() >= progress.deadline) {
+				hop.end(state);
+				return createProblem(state === 'withdrawn' ? 'unknown-key' : 'cancelled');
+			}
+
+			progress.triedTargets.push(answer.target.id);
+		}
+	}
+
+	/** What the caller gets when no further try follows. */
+	function giveUp(request: ForwardedRequest, progress: Progress, problem: Problem): ForwardResult {
+		const {reason} = request.cancellation;
+		if (progress.hasBegun) {
+			return resetWith(reason ?? problem.code, progress.runState);
+		}
+
+		const outcome = worseRunState(progress.runState, problem.outcome);
+		return {
+			kind: 'problem',
+			problem:
+				reason === 'key-withdrawn' ? createProblem('unknown-key', outcome) : {...problem, outcome},
+		};
+	}
+
+	/** Whether an answer that has begun can go on at another target. */
+	function mayContinue(request: ForwardedRequest, progress: Progress): boolean {
+		if (progress.download === undefined || request.cancellation.reason !== undefined) {
+			return false;
+		}
+
+		// The head has come, so the deadline for it says nothing about the rest of the body.
+		progress.deadline = clock.monotonic() + request.route.timeout;
+		if (!hasAttemptsLeft(request, progress) || !policy.takeRetry()) {
+			return false;
+		}
+
+		counters.increment('resumes');
+		return true;
+	}
+
+	/** Whether another try may follow this setback. */
+	async function mayGoOn(
+		request: ForwardedRequest,
+		progress: Progress,
+		setback: Setback,
+	): Promise<Problem | undefined> {
+		const problem = createProblem(setback.code, setback.runState, setback.retryAfter);
+		const isAllowed =
+			request.cancellation.reason === undefined &&
+			(progress.hasBegun ? mayContinue(request, progress) : mayRetry(request, progress, setback));
+		if (!isAllowed) {
+			return problem;
+		}
+
+		if (setback.code !== 'connection-broken') {
+			return undefined;
+		}
+
+		const refusal = await policy.checkFingerprint(request.fingerprint, progress.deadline);
+		return refusal === undefined ? undefined : problemFromRefusal(refusal);
+	}
+
+	return {
+		async forward(request) {
+			const progress: Progress = {
+				attempts: 0,
+				crashes: 0,
+				runState: 'not-run',
+				triedTargets: [],
+				triedDomains: [],
+				deadline: request.deadline,
+				hasBegun: false,
+				received: 0,
+				download: undefined,
+			};
+			for (;;) {
+				const grant = await acquireGrant(request, progress);
+				if (!('kind' in grant)) {
+					return giveUp(request, progress, grant);
+				}
+
+				const result = await tryTarget(request, progress, grant);
+				if (result.kind !== 'setback') {
+					return result;
+				}
+
+				progress.runState = worseRunState(progress.runState, result.runState);
+				const problem = await mayGoOn(request, progress, result);
+				if (problem !== undefined) {
+					return giveUp(request, progress, problem);
+				}
+
+				progress.triedTargets.push(grant.target.id);
+				progress.triedDomains.push(grant.target.failureDomain);
+			}
+		},
+	};
+}
+
+type AttemptTimes = {
+	/** Monotonic milliseconds. */
+	readonly dispatched: number;
+	readonly headAt?: number;
+	readonly generation?: string;
+};
+
+type AnsweredAttempt = {
+	readonly grant: SlotGrant;
+	readonly times: AttemptTimes;
+	readonly attempt: AttemptAnswer;
+};
+
+/** Trailers that may reach the caller; those that speak of framing may not. */
+const refusedTrailers: ReadonlySet<string> = new Set([
+	'connection',
+	'content-length',
+	'transfer-encoding',
+	'trailer',
+	'host',
+	'set-cookie',
+]);
+
+function endAnswer(response: ServerResponse, answer: IncomingMessage): void {
+	const trailers: Array<[string, string]> = [];
+	for (let index = 0; index + 1 < answer.rawTrailers.length; index += 2) {
+		if (!refusedTrailers.has(answer.rawTrailers[index]!.toLowerCase())) {
+			trailers.push([answer.rawTrailers[index]!, answer.rawTrailers[index + 1]!]);
+		}
+	}
+
+	if (trailers.length > 0 && response.chunkedEncoding) {
+		response.addTrailers(trailers);
+	}
+
+	response.end();
+}
--- /dev/null
+++ b/packages/io-http/src/request-body.ts
@@ -0,0 +1,178 @@
+/**
+ * The body of a request. Its beginning is held in memory up to a limit; a body that fits can be
+ * sent again. The rest is streamed with back-pressure and can be sent once.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage, type ClientRequest} from 'node:http';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {createSilenceTimer} from './silence-timer.js';
+
+export type BodyFailure = 'too-large' | 'stalled' | 'gone';
+
+export type RequestBody = {
+	/** Bytes; undefined where only the end of the chunks tells. */
+	readonly length: number | undefined;
+	/** The whole body, where it fits. */
+	readonly whole: Uint8Array | undefined;
+	/** Whether the body can be sent from its start. */
+	readonly isReplayable: boolean;
+	/** Writes the body and ends the request. Failures of the caller come to `onFailure`, once. */
+	sendTo(target: ClientRequest, onFailure: (failure: BodyFailure) => void): void;
+};
+
+export type RequestBodyOptions = {
+	readonly clock: Clock;
+	/** Bytes; undefined for a chunked body. */
+	readonly length: number | undefined;
+	/** Bytes held in memory. */
+	readonly bufferBytes: number;
+	/** Largest body accepted, bytes. */
+	readonly largest: number;
+	/** Longest silence of the caller, milliseconds. */
+	readonly idleTimeout: number;
+};
+
+const emptyBody: RequestBody = {
+	length: 0,
+	whole: Buffer.alloc(0),
+	isReplayable: true,
+	sendTo(target) {
+		target.end();
+	},
+};
+
+type Listeners = {
+	data(chunk: Uint8Array): void;
+	end(): void;
+	failure(failure: BodyFailure): void;
+};
+
+/** Listens until the returned function is called; a failure ends the listening. */
+function listen(source: IncomingMessage, options: RequestBodyOptions, listeners: Listeners) {
+	const timer = createSilenceTimer(options.clock, options.idleTimeout, () => {
+		fail('stalled');
+	});
+	const onData = (chunk: Uint8Array) => {
+		timer.touch();
+		listeners.data(chunk);
+	};
+
+	const onEnd = () => {
+		stop();
+		listeners.end();
+	};
+
+	const onGone = () => {
+		fail('gone');
+	};
+
+	function stop(): void {
+		timer.stop();
+		source.off('data', onData).off('end', onEnd).off('error', onGone).off('close', onGone);
+		source.pause();
+	}
+
+	function fail(failure: BodyFailure): void {
+		stop();
+		listeners.failure(failure);
+	}
+
+	source.on('data', onData).on('end', onEnd).on('error', onGone).on('close', onGone);
+	source.resume();
+	return {stop, fail, timer};
+}
+
+function createStreamedBody(
+	source: IncomingMessage,
+	held: readonly Uint8Array[],
+	heldBytes: number,
+	options: RequestBodyOptions,
+): RequestBody {
+	let isStarted = false;
+	return {
+		length: options.length,
+		whole: undefined,
+		get isReplayable() {
+			return !isStarted;
+		},
+		sendTo(target, onFailure) {
+			isStarted = true;
+			let received = heldBytes;
+			for (const chunk of held) {
+				target.write(chunk);
+			}
+
+			const listening = listen(source, options, {
+				data(chunk) {
+					received += chunk.length;
+					if (received > options.largest) {
+						listening.fail('too-large');
+					} else if (!target.write(chunk)) {
+						source.pause();
+						listening.timer.suspend();
+					}
+				},
+				end() {
+					target.end();
+				},
+				failure: onFailure,
+			});
+			target.on('drain', () => {
+				listening.timer.touch();
+				source.resume();
+			});
+			target.once('close', listening.stop);
+		},
+	};
+}
+
+function createWholeBody(whole: Uint8Array): RequestBody {
+	return {
+		length: whole.length,
+		whole,
+		isReplayable: true,
+		sendTo(target) {
+			target.end(whole);
+		},
+	};
+}
+
+/** Reads the beginning of the body. Resolves with a failure where the caller does not deliver it. */
+export async function readRequestBody(
+	source: IncomingMessage,
+	options: RequestBodyOptions,
+): Promise<RequestBody | BodyFailure> {
+	if (options.length === 0) {
+		return emptyBody;
+	}
+
+	if (options.length !== undefined && options.length > options.largest) {
+		return 'too-large';
+	}
+
+	if (source.destroyed) {
+		return 'gone';
+	}
+
+	return new Promise(resolve => {
+		const held: Uint8Array[] = [];
+		let heldBytes = 0;
+		const isLarge = (options.length ?? 0) > options.bufferBytes;
+		const listening = listen(source, options, {
+			data(chunk) {
+				held.push(chunk);
+				heldBytes += chunk.length;
+				if (heldBytes > options.largest) {
+					listening.fail('too-large');
+				} else if (isLarge || heldBytes > options.bufferBytes) {
+					listening.stop();
+					resolve(createStreamedBody(source, held, heldBytes, options));
+				}
+			},
+			end() {
+				resolve(createWholeBody(Buffer.concat(held, heldBytes)));
+			},
+			failure: resolve,
+		});
+	});
+}
--- /dev/null
+++ b/packages/io-http/src/request-checks.ts
@@ -0,0 +1,140 @@
+/**
+ * Checks of a request head that Node's parser leaves open. The parser runs in its strict mode and
+ * refuses two lengths, bare line feeds, folded lines and control characters by itself.
+ */
+import {type IncomingMessage} from 'node:http';
+import {type ProblemCode} from './problem-response.js';
+import {type HttpLimits} from './http-limits.js';
+
+export type CheckedHead = {
+	/** Lower case, without port. */
+	readonly host: string;
+	/** As received, for the target. */
+	readonly path: string;
+	/** Decoded, for the route. */
+	readonly decodedPath: string;
+	/** Without the question mark. */
+	readonly query: string;
+	/** Bytes; undefined for a chunked body, 0 for none. */
+	readonly bodyLength: number | undefined;
+};
+
+export type HeadCheck =
+	{readonly kind: 'ok'; readonly head: CheckedHead} | {readonly kind: 'bad'; code: ProblemCode};
+
+const hostPattern = /^(?<name>[\w.-]+|\[[\da-f:.]+])(?::\d{1,5})?$/i;
+const pathPattern = /^\/[\w\-.~!$&'()*+,;=:@%/]*$/;
+/** Printable ASCII except space, quotation mark, number sign and backslash. */
+const queryPattern = /^[!$-[\]-~]*$/;
+/** Slash, backslash and NUL: a target that decodes them would see another path than the route. */
+const encodedSeparator = /%(?:2f|5c|00)/i;
+/** Some targets ignore what follows a semicolon. */
+const dotSegment = /^\.{1,2}(?:;.*)?$/;
+const badPercent = /%(?![\da-f]{2})/i;
+
+function bad(code: ProblemCode): HeadCheck {
+	return {kind: 'bad', code};
+}
+
+/** All values of one header, in order. Linear in the number of headers. */
+export function valuesOf(rawHeaders: readonly string[], name: string): string[] {
+	const values: string[] = [];
+	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+		const candidate = rawHeaders[index]!;
+		if (candidate.length === name.length && candidate.toLowerCase() === name) {
+			values.push(rawHeaders[index + 1]!);
+		}
+	}
+
+	return values;
+}
+
+function decodePath(path: string): string | undefined {
+	if (!pathPattern.test(path) || badPercent.test(path) || encodedSeparator.test(path)) {
+		return undefined;
+	}
+
+	try {
+		const decoded = decodeURIComponent(path);
+		const hasDotSegment = decoded.split('/').some(part => dotSegment.test(part));
+		// eslint-disable-next-line no-control-regex -- encoded control characters are refused
+		return hasDotSegment || /[\u0000-\u001F\u007F]/.test(decoded) ? undefined : decoded;
+	} catch {
+		return undefined;
+	}
+}
+
+/** Bytes, undefined for chunked, or `bad`. */
+function readBodyLength(rawHeaders: readonly string[]): number | undefined | 'bad' {
+	const lengths = valuesOf(rawHeaders, 'content-length');
+	const encodings = valuesOf(rawHeaders, 'transfer-encoding');
+	if (lengths.length + encodings.length > 1) {
+		return 'bad';
+	}
+
+	if (encodings.length === 1) {
+		return encodings[0]!.toLowerCase() === 'chunked' ? undefined : 'bad';
+	}
+
+	if (lengths.length === 0) {
+		return 0;
+	}
+
+	return /^\d{1,15}$/.test(lengths[0]!) ? Number(lengths[0]) : 'bad';
+}
+
+function readHost(rawHeaders: readonly string[]): string | undefined {
+	const hosts = valuesOf(rawHeaders, 'host');
+	const match = hosts.length === 1 ? hostPattern.exec(hosts[0]!) : null;
+	return match?.groups?.name?.toLowerCase();
+}
+
+function checkProtocol(request: IncomingMessage, limits: HttpLimits): ProblemCode | undefined {
+	if (request.httpVersion !== '1.1') {
+		return 'version-refused';
+	}
+
+	if (request.headers.upgrade !== undefined) {
+		return 'upgrade-refused';
+	}
+
+	if (request.method === 'TRACE' || request.method === 'CONNECT') {
+		// TRACE echoes headers, which the caller could mistake for its own.
+		return 'method-refused';
+	}
+
+	if (request.rawHeaders.length / 2 > limits.headerCount) {
+		return 'headers-too-large';
+	}
+
+	return request.url!.length > limits.urlLength ? 'url-too-long' : undefined;
+}
+
+/** Checks protocol, framing, host and path, in that order. */
+export function checkHead(request: IncomingMessage, limits: HttpLimits): HeadCheck {
+	const protocolProblem = checkProtocol(request, limits);
+	if (protocolProblem !== undefined) {
+		return bad(protocolProblem);
+	}
+
+	const bodyLength = readBodyLength(request.rawHeaders);
+	if (bodyLength === 'bad') {
+		return bad('ambiguous-framing');
+	}
+
+	const host = readHost(request.rawHeaders);
+	if (host === undefined) {
+		return bad('invalid-host');
+	}
+
+	const url = request.url!;
+	const queryStart = url.indexOf('?');
+	const path = queryStart === -1 ? url : url.slice(0, queryStart);
+	const query = queryStart === -1 ? '' : url.slice(queryStart + 1);
+	const decodedPath = decodePath(path);
+	if (decodedPath === undefined || !queryPattern.test(query) || badPercent.test(query)) {
+		return bad('invalid-target');
+	}
+
+	return {kind: 'ok', head: {host, path, decodedPath, query, bodyLength}};
+}
--- /dev/null
+++ b/packages/io-http/src/request-handler.ts
@@ -0,0 +1,344 @@
+/**
+ * The steps of one request: check the head, match the route, authenticate, remove the key, take a
+ * token, read the beginning of the body, and forward. Each step either goes on or gives a problem.
+ */
+import {createHash} from 'node:crypto';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {type RouteDefinition} from '@shallotpond/configuration/document-schema';
+import {digestKey} from '@shallotpond/configuration/key-digest';
+import {type LookupTables} from '@shallotpond/configuration/lookup-tables';
+import {containsKey, findCallerKey, removeKeyParameter} from './caller-key.js';
+import {type Cancellation} from './cancellation.js';
+import {createTargetHeaders} from './forwarded-headers.js';
+import {worseRunState, type ForwardResult, type Forwarder} from './forwarder.js';
+import {type HttpLimits} from './http-limits.js';
+import {type KeyWatch} from './key-watch.js';
+import {
+	createProblem,
+	problemFromRefusal,
+	type Problem,
+	type ProblemCode,
+} from './problem-response.js';
+import {readRequestBody, type BodyFailure, type RequestBody} from './request-body.js';
+import {checkHead, valuesOf, type CheckedHead} from './request-checks.js';
+import {type IdempotencyClaim, type RequestPolicy} from './request-policy.js';
+import {type RequestSpan, type RequestTracer} from './request-tracer.js';
+
+export type RequestHandlerOptions = {
+	readonly policy: RequestPolicy;
+	readonly clock: Clock;
+	readonly limits: HttpLimits;
+	readonly tracer: RequestTracer;
+	readonly forwarder: Forwarder;
+	readonly keyWatch: KeyWatch;
+	readonly protocol: 'http' | 'https';
+	/** Whether the forwarded headers of this peer address are kept. */
+	readonly isTrustedForwarder: (address: string) => boolean;
+};
+
+export type ReceivedRequest = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly cancellation: Cancellation;
+	/** Whether the caller waits for `100 Continue` before it sends the body. */
+	readonly expectsContinue: boolean;
+};
+
+export type RequestHandler = {
+	/** Never rejects because of the caller or a target. */
+	handle(received: ReceivedRequest): Promise<ForwardResult>;
+};
+
+type AuthorizedRequest = {
+	readonly head: CheckedHead;
+	readonly route: RouteDefinition;
+	readonly key: string | undefined;
+	readonly keyDigest: string | undefined;
+	readonly workspace: string;
+	/** Path with query, without the key. */
+	readonly path: string;
+};
+
+/** Milliseconds; how soon an instance may be ready or reachable again. */
+const notReadyRetryAfter = 1000;
+
+const bodyProblems: Readonly<Record<BodyFailure, ProblemCode>> = {
+	'too-large': 'body-too-large',
+	stalled: 'request-timeout',
+	gone: 'cancelled',
+};
+
+/**
+ * Requests on open routes without a key count for this name. The colon keeps it apart from the
+ * names of workspaces.
+ */
+export function openRouteWorkspace(route: RouteDefinition): string {
+	return `open:${route.id}`;
+}
+
+function refuse(code: ProblemCode, retryAfter?: number): ForwardResult {
+	return {kind: 'problem', problem: createProblem(code, 'not-run', retryAfter)};
+}
+
+/** A target that merges slashes must not serve a path that belongs to another route. */
+function isAmbiguousPath(
+	tables: LookupTables,
+	head: CheckedHead,
+	route: RouteDefinition,
+	method: string,
+) {
+	if (!head.decodedPath.includes('//')) {
+		return false;
+	}
+
+	const path = head.decodedPath.replaceAll(/\/{2,}/g, '/');
+	return tables.findRoute({host: head.host, path, method}) !== route;
+}
+
+function authorize(
+	tables: LookupTables,
+	request: IncomingMessage,
+	head: CheckedHead,
+): AuthorizedRequest | ProblemCode {
+	const method = request.method!;
+	const route = tables.findRoute({host: head.host, path: head.decodedPath, method});
+	if (route === undefined) {
+		return 'unknown-route';
+	}
+
+	if (isAmbiguousPath(tables, head, route, method)) {
+		return 'invalid-target';
+	}
+
+	const found = findCallerKey(request.rawHeaders, head.query, route.keyQueryParameter);
+	if (found.kind === 'ambiguous') {
+		return 'ambiguous-key';
+	}
+
+	const key = found.kind === 'found' ? found.key : undefined;
+	const owner = key === undefined ? undefined : tables.findWorkspace(key);
+	if (owner === undefined && !route.open) {
+		return key === undefined ? 'missing-key' : 'unknown-key';
+	}
+
+	const query = removeKeyParameter(head.query, route.keyQueryParameter);
+	const path = query === '' ? head.path : `${head.path}?${query}`;
+	if (key !== undefined && containsKey(path, key)) {
+		return 'misplaced-key';
+	}
+
+	return {
+		head,
+		route,
+		key,
+		keyDigest: key === undefined || owner === undefined ? undefined : digestKey(key),
+		workspace: owner ?? openRouteWorkspace(route),
+		path,
+	};
+}
+
+function refusesIsolated(route: RouteDefinition): boolean {
+	return (route.onIsolation ?? (route.open ? 'serve' : 'refuse')) === 'refuse';
+}
+
+function createFingerprint(
+	authorized: AuthorizedRequest,
+	method: string,
+	body: RequestBody,
+): string {
+	const hash = createHash('sha256');
+	hash.update(`${authorized.workspace}\0${method}\0${authorized.path}\0`);
+	if (body.whole !== undefined) {
+		hash.update(body.whole);
+	}
+
+	return hash.digest('hex');
+}
+
+export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
+	const {policy, clock, limits, forwarder} = options;
+
+	function deadlineOf(request: IncomingMessage, route: RouteDefinition): number {
+		const asked = request.headers['x-request-deadline'];
+		const isNumber = typeof asked === 'string' && /^\d{1,9}$/.test(asked);
+		const timeout = isNumber ? Math.min(Number(asked), route.timeout) : route.timeout;
+		return clock.monotonic() + timeout;
+	}
+
+	function targetHeaders(request: IncomingMessage, key: string | undefined): string[] {
+		const address = request.socket.remoteAddress ?? 'unknown';
+		return createTargetHeaders(request.rawHeaders, key, {
+			address,
+			protocol: options.protocol,
+			host: request.headers.host!,
+			isTrusted: options.isTrustedForwarder(address),
+		});
+	}
+
+	async function admit(
+		received: ReceivedRequest,
+		authorized: AuthorizedRequest,
+		deadline: number,
+		span: RequestSpan,
+	): Promise<Problem | undefined> {
+		const hop = span.startHop('admit');
+		const {workspace} = authorized;
+		const answer = await policy.admit({
+			workspace,
+			deadline,
+			signal: received.cancellation.signal,
+		});
+		hop.end(answer.kind);
+		return answer.kind === 'refused' ? problemFromRefusal(answer) : undefined;
+	}
+
+	async function readBody(
+		received: ReceivedRequest,
+		authorized: AuthorizedRequest,
+	): Promise<RequestBody | BodyFailure> {
+		const {head, route} = authorized;
+		const isTooLarge = (head.bodyLength ?? 0) > route.largestRequestBody;
+		if (received.expectsContinue && !isTooLarge) {
+			received.response.writeContinue();
+		}
+
+		return readRequestBody(received.request, {
+			clock,
+			length: head.bodyLength,
+			bufferBytes: limits.bufferedRequestBytes,
+			largest: route.largestRequestBody,
+			idleTimeout: limits.bodyIdleTimeout,
+		});
+	}
+
+	/** Claims the idempotency key of a request that must not run twice. */
+	async function claim(
+		request: IncomingMessage,
+		authorized: AuthorizedRequest,
+		deadline: number,
+	): Promise<IdempotencyClaim | Problem | undefined> {
+		const keys = new Set(valuesOf(request.rawHeaders, 'idempotency-key'));
+		if (keys.size === 0 || authorized.route.idempotentMethods.includes(request.method!)) {
+			return undefined;
+		}
+
+		if (keys.size > 1) {
+			return createProblem('malformed-request');
+		}
+
+		const [key] = keys;
+		const {workspace} = authorized;
+		const answer = await policy.claimIdempotencyKey({workspace, key: key!, deadline});
+		return answer.kind === 'refused' ? problemFromRefusal(answer) : answer;
+	}
+
+	async function forward(
+		received: ReceivedRequest,
+		authorized: AuthorizedRequest,
+		deadline: number,
+		span: RequestSpan,
+	): Promise<ForwardResult> {
+		const problem = await admit(received, authorized, deadline, span);
+		if (problem !== undefined) {
+			return {kind: 'problem', problem};
+		}
+
+		policy.countRequest();
+		const body = await readBody(received, authorized);
+		if (typeof body === 'string') {
+			return refuse(bodyProblems[body]);
+		}
+
+		const {request, response, cancellation} = received;
+		const fingerprint = createFingerprint(authorized, request.method!, body);
+		const refusal = await policy.checkFingerprint(fingerprint, deadline);
+		if (refusal !== undefined) {
+			return {kind: 'problem', problem: problemFromRefusal(refusal)};
+		}
+
+		const claimed = await claim(request, authorized, deadline);
+		if (claimed !== undefined && !('kind' in claimed)) {
+			return {kind: 'problem', problem: claimed};
+		}
+
+		let result: ForwardResult | undefined;
+		try {
+			result = await forwarder.forward({
+				...authorized,
+				method: request.method!,
+				headers: targetHeaders(request, authorized.key),
+				body,
+				fingerprint,
+				deadline,
+				cancellation,
+				span,
+				response,
+			});
+			return result;
+		} finally {
+			claimed?.settle(runStateOf(result));
+		}
+	}
+
+	return {
+		async handle(received) {
+			const {request, response, cancellation} = received;
+			const check = checkHead(request, limits);
+			if (check.kind === 'bad') {
+				return refuse(check.code);
+			}
+
+			const tables = policy.tables();
+			if (tables === undefined) {
+				return refuse('not-ready', notReadyRetryAfter);
+			}
+
+			const authorized = authorize(tables, request, check.head);
+			if (typeof authorized === 'string') {
+				return refuse(authorized);
+			}
+
+			const {route, keyDigest, workspace} = authorized;
+			if (policy.isIsolated() && refusesIsolated(route)) {
+				return refuse('isolated', notReadyRetryAfter);
+			}
+
+			const span = options.tracer.startRequest({
+				method: request.method!,
+				route: route.id,
+				traceparent: request.headers.traceparent as string | undefined,
+			});
+			const stopWatching =
+				keyDigest === undefined
+					? undefined
+					: options.keyWatch.watch({
+							keyDigest,
+							workspace,
+							onWithdrawn() {
+								cancellation.cancel('key-withdrawn');
+							},
+						});
+			response.once('close', () => {
+				stopWatching?.();
+				span.end(response.writableFinished ? response.statusCode : 0);
+			});
+			return forward(received, authorized, deadlineOf(request, route), span);
+		},
+	};
+}
+
+/** What an idempotency key remembers. An undefined result stands for an internal error. */
+function runStateOf(result: ForwardResult | undefined) {
+	if (result === undefined) {
+		return 'may-have-run';
+	}
+
+	if (result.kind === 'delivered') {
+		return 'ran';
+	}
+
+	return result.kind === 'problem'
+		? result.problem.outcome
+		: worseRunState(result.outcome, 'may-have-run');
+}
--- /dev/null
+++ b/packages/io-http/src/request-tracer.ts
@@ -0,0 +1,43 @@
+/**
+ * The hook for traces: one span for a request and one for each hop. The interface keeps the request
+ * path free of a tracing library; the default does nothing.
+ */
+export type HopName = 'admit' | 'queue' | 'attempt';
+
+export type HopSpan = {
+	/** Value of `traceparent` for the target; undefined where nothing is traced. */
+	readonly traceparent: string | undefined;
+	/** `result` is a short word such as `ok`, `refused` or an `AttemptResult`. */
+	end(result: string): void;
+};
+
+export type RequestSpan = {
+	startHop(name: HopName, attributes?: Readonly<Record<string, string | number>>): HopSpan;
+	/** `status` is that of the answer; 0 where the answer was cut. */
+	end(status: number): void;
+};
+
+export type RequestTracer = {
+	/** `traceparent` is the caller's header, unchecked. Never gets a key or a query. */
+	startRequest(request: {
+		readonly method: string;
+		readonly route: string;
+		readonly traceparent: string | undefined;
+	}): RequestSpan;
+};
+
+const silentHop: HopSpan = {
+	traceparent: undefined,
+	end() {
+		// Traces nothing.
+	},
+};
+
+const silentSpan: RequestSpan = {
+	startHop: () => silentHop,
+	end() {
+		// Traces nothing.
+	},
+};
+
+export const silentTracer: RequestTracer = {startRequest: () => silentSpan};
--- /dev/null
+++ b/packages/io-http/src/target-connections.ts
@@ -0,0 +1,209 @@
+/**
+ * Connections to targets. Node's agents keep idle connections by address; this module adds the
+ * checks that make reuse safe and the limits that hold for one target.
+ */
+import http from 'node:http';
+import https from 'node:https';
+import {type Socket} from 'node:net';
+import {type Duplex} from 'node:stream';
+import {
+	type ServiceDefinition,
+	type TargetDefinition,
+} from '@shallotpond/configuration/document-schema';
+import {type HttpCounters} from './http-counters.js';
+import {type HttpLimits} from './http-limits.js';
+
+export type TargetTls = {
+	/** PEM of the authorities that sign the targets' certificates; default: those of Node. */
+	readonly authorities?: string;
+	/** Default true. */
+	readonly isVerified?: boolean;
+};
+
+export type TargetConnectionsOptions = {
+	readonly limits: HttpLimits;
+	readonly counters: HttpCounters;
+	readonly tls?: TargetTls;
+};
+
+export type TargetAddress = {readonly host: string; readonly port: number};
+
+export type TargetConnections = {
+	/** Agent for the target, and the options that every request to it needs. */
+	optionsFor(target: TargetDefinition, service: ServiceDefinition): http.RequestOptions;
+	/** Whether another connection stays within the limit of the target. */
+	hasRoom(target: TargetDefinition, service: ServiceDefinition): boolean;
+	/** Marks a connection with the number of idle ones that its target may have from here. */
+	register(socket: Socket, target: TargetDefinition, idleLimit: number): void;
+	/** Closes the idle connections to the target, for example after one went silent. */
+	discardIdle(target: TargetDefinition): void;
+	/** Connections to the target, idle and in use. */
+	count(target: TargetDefinition): number;
+	close(): void;
+};
+
+/** Splits `ip:port` and `[ip]:port`. */
+export function parseTargetAddress(address: string): TargetAddress {
+	const end = address.lastIndexOf(':');
+	const host = address.slice(0, end);
+	return {
+		host: host.startsWith('[') ? host.slice(1, -1) : host,
+		port: Number(address.slice(end + 1)),
+	};
+}
+
+/**
+ * Idle connections that one instance may keep to one target. Connections in use are bounded over
+ * the fleet by the slots, so every instance may idle an equal part of the rest; 0 means that each
+ * request opens a connection.
+ */
+export function idleConnectionLimit(service: ServiceDefinition, maxInstances: number): number {
+	return Math.max(0, Math.floor((service.connections - service.slots) / maxInstances));
+}
+
+type Registration = {readonly address: string; readonly idleLimit: number};
+
+export function createTargetConnections(options: TargetConnectionsOptions): TargetConnections {
+	const {limits, counters, tls = {}} = options;
+	const registrations = new WeakMap<Duplex, Registration>();
+	const socketsByAddress = new Map<string, Set<Socket>>();
+	const idleByAddress = new Map<string, Set<Duplex>>();
+
+	function setIdle(socket: Duplex, isIdle: boolean): void {
+		const {address} = registrations.get(socket)!;
+		const idle = idleByAddress.get(address);
+		if (isIdle) {
+			if (idle === undefined) {
+				idleByAddress.set(address, new Set([socket]));
+			} else {
+				idle.add(socket);
+			}
+		} else if (idle !== undefined) {
+			idle.delete(socket);
+			if (idle.size === 0) {
+				idleByAddress.delete(address);
+			}
+		}
+	}
+
+	/** Bytes on an idle connection belong to no request; the next one must not get them. */
+	function refuseBytes(this: Duplex): void {
+		counters.increment('unexpected-bytes');
+		this.destroy();
+	}
+
+	function mayKeep(socket: Duplex): boolean {
+		const registration = registrations.get(socket);
+		if (registration === undefined || socket.destroyed || socket.readableLength > 0) {
+			return false;
+		}
+
+		return (idleByAddress.get(registration.address)?.size ?? 0) < registration.idleLimit;
+	}
+
+	function keep(socket: Duplex): void {
+		setIdle(socket, true);
+		socket.on('data', refuseBytes);
+	}
+
+	function take(socket: Duplex): void {
+		setIdle(socket, false);
+		socket.off('data', refuseBytes);
+	}
+
+	class TargetAgent extends http.Agent {
+		override keepSocketAlive(socket: Duplex): boolean {
+			const decide: (socket: Duplex) => unknown = super.keepSocketAlive;
+			const isKept = mayKeep(socket) && decide.call(this, socket) !== false;
+			if (!isKept) {
+				return false;
+			}
+
+			keep(socket);
+			return true;
+		}
+
+		override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
+			take(socket);
+			super.reuseSocket(socket, request);
+		}
+	}
+
+	class SecureTargetAgent extends https.Agent {
+		override keepSocketAlive(socket: Duplex): boolean {
+			const decide: (socket: Duplex) => unknown = super.keepSocketAlive;
+			const isKept = mayKeep(socket) && decide.call(this, socket) !== false;
+			if (!isKept) {
+				return false;
+			}
+
+			keep(socket);
+			return true;
+		}
+
+		override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
+			take(socket);
+			super.reuseSocket(socket, request);
+		}
+	}
+
+	const agentOptions: http.AgentOptions = {
+		keepAlive: true,
+		// The most recently used connection is the least likely to have been closed by the target.
+		scheduling: 'lifo',
+		timeout: limits.targetIdleTimeout,
+	};
+	const plainAgent = new TargetAgent(agentOptions);
+	const secureAgent = new SecureTargetAgent({
+		...agentOptions,
+		ca: tls.authorities,
+		rejectUnauthorized: tls.isVerified ?? true,
+	});
+
+	return {
+		optionsFor(target, service) {
+			const {host, port} = parseTargetAddress(target.address);
+			return {
+				host,
+				port,
+				agent: service.tls ? secureAgent : plainAgent,
+				// Without this, Node would verify the certificate against the caller's Host header.
+				...(service.tls ? {servername: '', protocol: 'https:'} : {}),
+				maxHeaderSize: limits.answerHeaderBytes,
+			};
+		},
+		hasRoom(target, service) {
+			const idle = idleByAddress.get(target.address)?.size ?? 0;
+			const open = socketsByAddress.get(target.address)?.size ?? 0;
+			return idle > 0 || open < service.connections;
+		},
+		register(socket, target, idleLimit) {
+			const {address} = target;
+			const isKnown = registrations.has(socket);
+			registrations.set(socket, {address, idleLimit});
+			if (isKnown) {
+				return;
+			}
+
+			const sockets = socketsByAddress.get(address) ?? new Set();
+			socketsByAddress.set(address, sockets.add(socket));
+			socket.once('close', () => {
+				setIdle(socket, false);
+				sockets.delete(socket);
+				if (sockets.size === 0 && socketsByAddress.get(address) === sockets) {
+					socketsByAddress.delete(address);
+				}
+			});
+		},
+		discardIdle(target) {
+			for (const socket of idleByAddress.get(target.address) ?? []) {
+				socket.destroy();
+			}
+		},
+		count: target => socketsByAddress.get(target.address)?.size ?? 0,
+		close() {
+			plainAgent.destroy();
+			secureAgent.destroy();
+		},
+	};
+}
