Limit workspace rates by tokens lent from an owner

Cause: a workspace's rate and burst must hold summed over all instances, also while the owner of the rate changes and messages are lost.

The owner uses only the authority that majoritySince and vested prove for the whole time since its last call, and uses new capacity only after the grants of earlier owners have expired. For the same reason grants are valid for 100 ms instead of 500 ms: with longer ones a change of owner stops a workspace for longer than a request waits. Asks wait at the owner, oldest request first.

--- /dev/null
+++ b/packages/policy-limits/src/__tests__/fleet-load.test.ts
@@ -0,0 +1,173 @@
+import {describe, expect, test} from '@jest/globals';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
+import {createRateOwner} from '../rate-owner.js';
+import {createRateRequester, type RateRequester, type RateTurn} from '../rate-requester.js';
+import {createStaticSplit} from '../static-split.js';
+import {type TokenMessage} from '../token-messages.js';
+
+const instances = 48;
+const limits = {rate: 500, burst: 100};
+const warmUp = 5000;
+
+type Counts = {requests: number; refused: number; messages: number; waited: number};
+
+/** One workspace on 48 instances in steps of 1 ms, with 1 ms per message, for `duration` ms. */
+function runLoad({
+	load,
+	weights,
+	duration,
+	random,
+	isStatic = false,
+	live = instances,
+	ownerAt = () => 0,
+}: {
+	load: number;
+	weights: readonly number[];
+	duration: number;
+	random: Random;
+	isStatic?: boolean;
+	/** Instances that exist, out of D. */
+	live?: number;
+	ownerAt?: (now: number) => number;
+}): Counts {
+	const counts: Counts = {requests: 0, refused: 0, messages: 0, waited: 0};
+	let network: Array<Outbound<TokenMessage> & {from: string}> = [];
+	let majoritySince = 0;
+	let lastOwner = ownerAt(0);
+	let now = 0;
+	const current = live / instances;
+	const owners = Array.from({length: live}, (_, index) =>
+		createRateOwner({
+			fraction: () =>
+				index === lastOwner
+					? {current, vested: now - majoritySince >= 4000 ? current : 0, majoritySince}
+					: {current: 0, vested: 0, majoritySince: undefined},
+			limits: () => limits,
+			minorityFraction: () => 0.25,
+		}),
+	);
+	const requesters: RateRequester[] = owners.map(() =>
+		isStatic
+			? createStaticSplit({instances, limits: () => limits})
+			: createRateRequester({
+					owner: () => String(lastOwner),
+					ownShare: () => 1 / instances,
+					limits: () => limits,
+					minorityFraction: () => 0.25,
+				}),
+	);
+
+	function follow(index: number, turn: RateTurn): void {
+		counts.messages += turn.messages.length;
+		network.push(...turn.messages.map(message => ({...message, from: String(index)})));
+		for (const {admission} of turn.settled) {
+			counts.refused += admission.kind === 'refused' ? 1 : 0;
+		}
+	}
+
+	function deliver({to, from, message}: Outbound<TokenMessage> & {from: string}): void {
+		if (message.kind === 'token-ask' || message.kind === 'token-return') {
+			const answers = owners[Number(to)]!.handle(message, from, now);
+			counts.messages += answers.length;
+			network.push(...answers.map(answer => ({...answer, from: to})));
+		} else {
+			follow(Number(to), requesters[Number(to)]!.handle(message, from, now));
+		}
+	}
+
+	function tickOwners(): void {
+		for (const [index, owner] of owners.entries()) {
+			const answers = owner.tick(now).map(answer => ({...answer, from: String(index)}));
+			counts.messages += answers.length;
+			network.push(...answers);
+		}
+	}
+
+	const total = weights.slice(0, live).reduce((sum, weight) => sum + weight, 0);
+	for (; now < warmUp + duration; now++) {
+		if (ownerAt(now) !== lastOwner) {
+			lastOwner = ownerAt(now);
+			majoritySince = now;
+		}
+
+		const arrived = network;
+		network = [];
+		for (const message of arrived) {
+			deliver(message);
+		}
+
+		if (now % 5 === 0) {
+			tickOwners();
+		}
+
+		for (const [index, requester] of requesters.entries()) {
+			if (now >= warmUp && random() < (load * limits.rate * weights[index]!) / total / 1000) {
+				const turn = requester.admit('w', now);
+				counts.requests++;
+				counts.refused += turn.admission.kind === 'refused' ? 1 : 0;
+				counts.waited += turn.admission.kind === 'wait' ? 1 : 0;
+				follow(index, turn);
+			}
+
+			if ((now + index) % 10 === 0) {
+				follow(index, requester.tick(now));
+			}
+		}
+	}
+
+	return counts;
+}
+
+const even = Array.from<number>({length: instances}).fill(1);
+/** A few instances receive most requests, as behind a balancer with long-lived connections. */
+const uneven = even.map((_, index) => 1 / (index + 1));
+
+describe('one workspace on 48 instances', () => {
+	test('evenly spread demand at 95% of the rate is hardly refused, so that ownership costs no requests', () => {
+		const run = runLoad({
+			load: 0.95,
+			weights: even,
+			duration: 60_000,
+			random: createSeededRandom(7),
+		});
+		console.info('even load', run);
+		expect(run.requests).toBeGreaterThan(25_000);
+		expect(run.refused).toBeLessThanOrEqual(run.requests / 1000);
+		// An ask, a grant and a report per request would be 3.
+		expect(run.messages).toBeLessThan(run.requests * 3);
+	});
+
+	test('uneven demand is admitted, while a static split refuses most of it in the same run', () => {
+		const options = {load: 0.95, weights: uneven, duration: 30_000};
+		const lent = runLoad({...options, random: createSeededRandom(11)});
+		const split = runLoad({...options, random: createSeededRandom(11), isStatic: true});
+		console.info('uneven load', {lent, split});
+		expect(lent.refused).toBeLessThanOrEqual(lent.requests / 1000);
+		expect(split.refused).toBeGreaterThan(split.requests / 4);
+	});
+
+	test('a fleet of 40 under D = 48 uses more of the rate than its part of the shares', () => {
+		const run = runLoad({
+			load: 0.93,
+			weights: even,
+			duration: 20_000,
+			random: createSeededRandom(13),
+			live: 40,
+		});
+		console.info('40 of 48 instances', run);
+		expect(run.refused).toBeLessThanOrEqual(run.requests / 1000);
+	});
+
+	test('a change of owner at 80% of the rate refuses no request, because the wait covers the new term', () => {
+		const run = runLoad({
+			load: 0.8,
+			weights: even,
+			duration: 10_000,
+			random: createSeededRandom(17),
+			ownerAt: now => (now < 8000 ? 0 : 1),
+		});
+		console.info('change of owner', run);
+		expect(run.refused).toBe(0);
+	});
+});
--- /dev/null
+++ b/packages/policy-limits/src/__tests__/rate-invariant.test.ts
@@ -0,0 +1,247 @@
+import {env} from 'node:process';
+import {describe, expect, test} from '@jest/globals';
+import fc from 'fast-check';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {createRateOwner, type RateOwner} from '../rate-owner.js';
+import {createRateRequester, type RateTurn} from '../rate-requester.js';
+import {createSingleCounter} from '../single-counter.js';
+import {type TokenGrant, type TokenMessage} from '../token-messages.js';
+import {type WorkspaceLimits} from '../workspace-limits.js';
+import {createShareLedger} from './share-ledger.js';
+
+const members = 4;
+const member = fc.nat(members - 1);
+const owner = fc.option(fc.constantFrom(0, 0, 1, 2, 3), {nil: undefined, freq: 8});
+const pause = fc.oneof(
+	{weight: 6, arbitrary: fc.nat(20)},
+	{weight: 2, arbitrary: fc.constantFrom(95, 99, 102, 130)},
+	{weight: 2, arbitrary: fc.nat(250)},
+	{weight: 1, arbitrary: fc.integer({min: 400, max: 6000})},
+);
+const count = fc.integer({min: 1, max: 24});
+const kind = <Kind extends string>(name: Kind) => fc.constant(name);
+const weigh = <Value>(weight: number, arbitrary: fc.Arbitrary<Value>) => ({weight, arbitrary});
+const action = fc.oneof(
+	weigh(6, fc.record({kind: kind('exchange'), member, count})),
+	weigh(4, fc.record({kind: kind('admit'), member, count})),
+	weigh(1, fc.record({kind: kind('abandon'), member})),
+	weigh(2, fc.record({kind: kind('tick'), member})),
+	weigh(1, fc.record({kind: kind('hoard'), member, count})),
+	weigh(3, fc.record({kind: kind('use'), count})),
+	weigh(1, fc.record({kind: kind('give-back')})),
+	weigh(2, fc.record({kind: kind('deliver'), pick: fc.nat(1000), isCopied: fc.boolean()})),
+	weigh(4, fc.record({kind: kind('deliver-all')})),
+	weigh(1, fc.record({kind: kind('lose'), pick: fc.nat(1000)})),
+	weigh(1, fc.record({kind: kind('move'), member, owner})),
+	weigh(1, fc.record({kind: kind('move-all'), owner})),
+);
+type Action = typeof action extends fc.Arbitrary<infer Value> ? Value : never;
+type Kind = Action['kind'];
+const schedule = fc.array(fc.record({pause, action}), {minLength: 10, maxLength: 90});
+
+const drift = [1, 0.995, 1.004, 1];
+type OwnerFactory = (fraction: Parameters<typeof createRateOwner>[0]['fraction']) => RateOwner;
+
+/** A fleet in which instance 0 also hoards grants and uses them as late as they are valid. */
+function createFleet(limits: WorkspaceLimits, minority: number, createOwner?: OwnerFactory) {
+	const ledger = createShareLedger(members);
+	let now = 0;
+	const admitted: number[] = [];
+	const network: Array<Outbound<TokenMessage> & {from: string}> = [];
+	const hoard: Array<{grant: TokenGrant; from: string; until: number; used: number}> = [];
+	const hoardAsks = new Map<number, number>();
+	const waiting = new Map<number, number[]>();
+	const local = (index: number) => now * drift[index]!;
+	const instances = Array.from({length: members}, (_, index) => {
+		const fraction = () => {
+			const {majoritySince, ...rest} = ledger.fraction(index, now);
+			return {...rest, majoritySince: majoritySince && majoritySince * drift[index]!};
+		};
+
+		const ownerOptions = {fraction, limits: () => limits, minorityFraction: () => minority};
+		return {
+			owner: createOwner?.(fraction) ?? createRateOwner(ownerOptions),
+			requester: createRateRequester({
+				owner() {
+					const found = ledger.ownerOf(index);
+					return found === undefined ? undefined : String(found);
+				},
+				ownShare: () => 1 / members,
+				limits: () => limits,
+				minorityFraction: () => minority,
+			}),
+		};
+	});
+
+	function follow(index: number, turn: RateTurn): void {
+		for (const message of turn.messages) {
+			network.push({...message, from: String(index)});
+		}
+
+		for (const {admission} of turn.settled) {
+			if (admission.kind === 'admitted') {
+				admitted.push(now);
+			}
+		}
+	}
+
+	function receive({to, from, message}: Outbound<TokenMessage> & {from: string}): void {
+		if (to === 'hoarder') {
+			const askedAt = hoardAsks.get(message.id);
+			if (message.kind === 'token-grant' && askedAt !== undefined) {
+				hoardAsks.delete(message.id);
+				hoard.push({grant: message, from, until: askedAt + message.validFor, used: 0});
+			}
+
+			return;
+		}
+
+		const index = Number(to);
+		if (message.kind === 'token-ask' || message.kind === 'token-return') {
+			const answers = instances[index]!.owner.handle(message, from, local(index));
+			network.push(...answers.map(answer => ({...answer, from: to})));
+		} else {
+			follow(index, instances[index]!.requester.handle(message, from, local(index)));
+		}
+	}
+
+	const perform: {[K in Kind]: (step: Extract<Action, {kind: K}>) => void} = {
+		admit({member: index, count}) {
+			for (let round = 0; round < count; round++) {
+				const turn = instances[index]!.requester.admit('w', local(index));
+				follow(index, turn);
+				if (turn.admission.kind === 'admitted') {
+					admitted.push(now);
+				} else if (turn.admission.kind === 'wait') {
+					waiting.set(index, [...(waiting.get(index) ?? []), turn.admission.request]);
+				}
+			}
+		},
+		abandon({member: index}) {
+			for (const request of waiting.get(index) ?? []) {
+				instances[index]!.requester.cancel('w', request);
+			}
+		},
+		tick({member: index}) {
+			follow(index, instances[index]!.requester.tick(local(index)));
+			const answers = instances[index]!.owner.tick(local(index));
+			network.push(...answers.map(answer => ({...answer, from: String(index)})));
+		},
+		hoard({member: index, count}) {
+			const id = hoardAsks.size + hoard.length + 1 + now * 1000;
+			hoardAsks.set(id, now);
+			const message = {kind: 'token-ask', id, workspace: 'w', count, waited: 0} as const;
+			network.push({to: String(index), from: 'hoarder', message});
+		},
+		exchange({member: index, count}) {
+			perform.hoard({kind: 'hoard', member: index, count});
+			perform['deliver-all']({kind: 'deliver-all'});
+			perform['deliver-all']({kind: 'deliver-all'});
+		},
+		use({count}) {
+			for (const held of hoard) {
+				const used = now < held.until ? Math.min(count, held.grant.count - held.used) : 0;
+				held.used += used;
+				admitted.push(...Array.from<number>({length: used}).fill(now));
+			}
+		},
+		'give-back'() {
+			for (const {grant, from, used} of hoard.splice(0)) {
+				const {id, workspace, count} = grant;
+				const returned = count - used;
+				const message = {kind: 'token-return', id, workspace, used, returned} as const;
+				network.push({to: from, from: 'hoarder', message});
+			}
+		},
+		deliver({pick, isCopied}) {
+			const index = pick % Math.max(1, network.length);
+			const [found] = isCopied ? network.slice(index, index + 1) : network.splice(index, 1);
+			if (found !== undefined) {
+				receive(found);
+			}
+		},
+		'deliver-all'() {
+			for (const message of network.splice(0)) {
+				receive(message);
+			}
+		},
+		lose({pick}) {
+			network.splice(pick % Math.max(1, network.length), 1);
+		},
+		move({member: index, owner: to}) {
+			ledger.move(index, to, now);
+		},
+		'move-all'({owner: to}) {
+			for (let index = 0; index < members; index++) {
+				ledger.move(index, to, now);
+			}
+		},
+	};
+
+	// Shares have been lent for a while when a schedule starts, or nothing would be granted.
+	perform['move-all']({kind: 'move-all', owner: 0});
+	now = 5000;
+	return {
+		admitted,
+		run(steps: ReadonlyArray<{pause: number; action: Action}>) {
+			for (const step of steps) {
+				now += step.pause;
+				perform[step.action.kind](step.action as never);
+			}
+		},
+	};
+}
+
+/** The largest excess, over all windows, of admitted requests over rate x time. */
+function largestBurst(admitted: readonly number[], rate: number): number {
+	let least = Number.POSITIVE_INFINITY;
+	let largest = 0;
+	for (const [index, time] of admitted.entries()) {
+		const line = index - (rate * time) / 1000;
+		least = Math.min(least, line);
+		largest = Math.max(largest, line - least + 1);
+	}
+
+	return largest;
+}
+
+const limitsOfRuns = fc.record({
+	rate: fc.constantFrom(1, 20, 200),
+	burst: fc.integer({min: 1, max: 24}),
+});
+
+describe('rate of a workspace over the whole fleet', () => {
+	test('no window admits more than rate x time + burst under moved shares, pauses and message faults', () => {
+		let total = 0;
+		fc.assert(
+			fc.property(
+				schedule,
+				limitsOfRuns,
+				fc.constantFrom(0, 0.25, 1),
+				(steps, limits, minority) => {
+					const fleet = createFleet(limits, minority);
+					fleet.run(steps);
+					total += fleet.admitted.length;
+					expect(largestBurst(fleet.admitted, limits.rate)).toBeLessThanOrEqual(
+						limits.burst + 1e-6,
+					);
+				},
+			),
+			{seed: 20_261_204, numRuns: Number(env.RATE_RUNS ?? 10_000)},
+		);
+		// Guards against schedules in which nothing is ever granted.
+		expect(total).toBeGreaterThan(10_000);
+	});
+
+	test('the single counter breaks the bound in the same schedules, so they are strong enough', () => {
+		const result = fc.check(
+			fc.property(schedule, limitsOfRuns, (steps, limits) => {
+				const fleet = createFleet(limits, 0.25, () => createSingleCounter({limits: () => limits}));
+				fleet.run(steps);
+				return largestBurst(fleet.admitted, limits.rate) <= limits.burst + 1e-6;
+			}),
+			{seed: 20_261_204, numRuns: 500},
+		);
+		expect(result.failed).toBe(true);
+	});
+});
--- /dev/null
+++ b/packages/policy-limits/src/own-share-bucket.ts
@@ -0,0 +1,63 @@
+/**
+ * The part of a workspace's rate that an instance uses itself while it lends its share to no one.
+ * It starts empty each time the share returns, and is unusable until the grants that its last owner
+ * made have expired.
+ */
+import {createTokenBucket} from './token-bucket.js';
+import {ownerGrantTerm, tokenCapacity, type WorkspaceLimits} from './workspace-limits.js';
+
+export type OwnShareBucket = {
+	/**
+	 * Takes one token. `authority` is the part of the rate, 0 to 1, and 0 while the share is lent.
+	 * Must be called at least every `longestGap` milliseconds to stay filled.
+	 */
+	take(limits: WorkspaceLimits | undefined, authority: number, now: number): boolean;
+	/** Notes the state without taking a token. */
+	observe(limits: WorkspaceLimits | undefined, authority: number, now: number): void;
+};
+
+/** Milliseconds between two observations. A share cannot be lent and taken back in less time,
+ * because that takes the confirmation of its owner or the end of a lease. */
+const longestGap = 100;
+
+export function createOwnShareBucket(): OwnShareBucket {
+	let bucket = createTokenBucket();
+	let capacity = 0;
+	let observedAt = Number.NEGATIVE_INFINITY;
+	let usableFrom = Number.POSITIVE_INFINITY;
+
+	function restart(now: number, authority: number): void {
+		bucket = createTokenBucket();
+		capacity = 0;
+		usableFrom = authority > 0 ? now + ownerGrantTerm : Number.POSITIVE_INFINITY;
+	}
+
+	function observe(limits: WorkspaceLimits | undefined, authority: number, now: number): void {
+		const isKnown = usableFrom < Number.POSITIVE_INFINITY && now - observedAt <= longestGap;
+		if (!isKnown || authority === 0) {
+			restart(now, authority);
+		}
+
+		if (limits !== undefined && now > usableFrom) {
+			const elapsed = now - Math.max(usableFrom, observedAt);
+			const newCapacity = tokenCapacity(limits.burst, authority, false);
+			bucket.update((limits.rate * authority * elapsed) / 1000, Math.min(capacity, newCapacity));
+			capacity = newCapacity;
+		}
+
+		observedAt = now;
+	}
+
+	return {
+		observe,
+		take(limits, authority, now) {
+			observe(limits, authority, now);
+			const isTaken = bucket.grant(1) === 1;
+			if (isTaken) {
+				bucket.settle(1, false);
+			}
+
+			return isTaken;
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy-limits/src/rate-owner.ts
@@ -0,0 +1,300 @@
+/**
+ * The owner of workspace rates. Any instance is asked by those that take it for the owner; how much
+ * it may grant follows only from the shares lent to it at the moment of each call.
+ *
+ * Why admitted <= rate x time + burst holds over all owners: let G be the term of a grant as the
+ * owner counts it. An owner grants only while its tokens and outstanding grants fit into the
+ * capacity that it had at every moment of the last G. Whatever can still be used at a time t
+ * therefore fits into the capacities of all owners at t - G, whose sum is at most the burst. What is
+ * added after t is at most rate x authority per owner, and the authorities sum to at most 1.
+ */
+import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {type ShareFraction, type ShareSource} from '@shallotpond/policy-membership/share-fraction';
+import {createAskQueue, type AskQueue} from './ask-queue.js';
+import {createTokenBucket, type TokenBucket} from './token-bucket.js';
+import {
+	type OwnerBoundTokenMessage,
+	type RequesterBoundTokenMessage,
+	type TokenAsk,
+	type TokenReturn,
+} from './token-messages.js';
+import {
+	grantTerm,
+	ownerGrantTerm,
+	rateResource,
+	steadyAuthority,
+	tokenCapacity,
+	type LimitsLookup,
+	type WorkspaceLimits,
+} from './workspace-limits.js';
+
+export type RateOwnerOptions = {
+	readonly fraction: ShareSource;
+	readonly limits: LimitsLookup;
+	/** `fleet.minorityFraction`, 0 to 1. All instances must use the same value. */
+	readonly minorityFraction: () => number;
+};
+
+export type RateOwner = {
+	/**
+	 * Handles one message. The answers may be for other
+	 * requesters too. An ask for an unknown workspace gets a refusal, one without a free token waits.
+	 */
+	handle(
+		message: OwnerBoundTokenMessage,
+		from: InstanceId,
+		now: number,
+	): Array<Outbound<RequesterBoundTokenMessage>>;
+	/** Serves asks that wait for tokens. Must be called about every 5 ms. Cost: workspaces with queued asks. */
+	tick(now: number): Array<Outbound<RequesterBoundTokenMessage>>;
+};
+
+/** Milliseconds after which an ask for an unknown workspace may be repeated. */
+const unknownRetry = 50;
+
+type Grant = {
+	readonly count: number;
+	readonly expiresAt: number;
+	readonly answer: Outbound<RequesterBoundTokenMessage>;
+	used: number;
+	returned: number;
+};
+
+type Account = {
+	readonly bucket: TokenBucket;
+	/** By requester and ask. All terms are equal, so the oldest entry expires first. */
+	readonly grants: Map<string, Grant>;
+	readonly queue: AskQueue;
+	updatedAt: number;
+	capacity: number;
+};
+
+type Context = {
+	readonly from: InstanceId;
+	readonly now: number;
+};
+
+export function createRateOwner(options: RateOwnerOptions): RateOwner {
+	// At most one account per configured workspace.
+	const accounts = new Map<string, Account>();
+	const queuedWorkspaces = new Set<string>();
+
+	function refresh(workspace: string, limits: WorkspaceLimits, now: number): Account {
+		const fraction = options.fraction(rateResource(workspace), now);
+		const account = accounts.get(workspace) ?? openAccount(fraction);
+		accounts.set(workspace, account);
+		refill({account, limits, fraction, minorityFraction: options.minorityFraction(), now});
+		return account;
+	}
+
+	/** Answers queued asks, oldest request first, as far as the tokens reach. */
+	function serve(
+		workspace: string,
+		account: Account,
+		now: number,
+	): Array<Outbound<RequesterBoundTokenMessage>> {
+		const answers: Array<Outbound<RequesterBoundTokenMessage>> = [];
+		let queued = account.queue.first(now);
+		while (queued !== undefined) {
+			const count = account.bucket.grant(Math.max(1, Math.floor(queued.ask.count)));
+			if (count === 0) {
+				break;
+			}
+
+			account.queue.removeFirst();
+			answers.push(recordGrant(account, {message: queued.ask, from: queued.from, count, now}));
+			queued = account.queue.first(now);
+		}
+
+		if (queued === undefined) {
+			queuedWorkspaces.delete(workspace);
+		} else {
+			queuedWorkspaces.add(workspace);
+		}
+
+		return answers;
+	}
+
+	const handlers: Handlers<
+		OwnerBoundTokenMessage,
+		Context,
+		Array<Outbound<RequesterBoundTokenMessage>>
+	> = {
+		'token-ask'(message, {from, now}) {
+			const limits = options.limits(message.workspace);
+			if (limits === undefined) {
+				accounts.delete(message.workspace);
+				return [refusal(message, from, unknownRetry)];
+			}
+
+			const account = refresh(message.workspace, limits, now);
+			const known = account.grants.get(grantKey(from, message.id));
+			if (known !== undefined) {
+				return [known.answer];
+			}
+
+			account.queue.add(message, from, now);
+			return serve(message.workspace, account, now);
+		},
+		'token-return'(message, {from, now}) {
+			const limits = options.limits(message.workspace);
+			if (limits === undefined || !accounts.has(message.workspace)) {
+				return [];
+			}
+
+			const account = refresh(message.workspace, limits, now);
+			settleGrant(account, message, from);
+			return serve(message.workspace, account, now);
+		},
+	};
+
+	return {
+		handle: (message, from, now) => dispatch(handlers, message, {from, now}),
+		tick(now) {
+			return [...queuedWorkspaces].flatMap(workspace => {
+				const limits = options.limits(workspace);
+				if (limits === undefined) {
+					accounts.delete(workspace);
+					queuedWorkspaces.delete(workspace);
+					return [];
+				}
+
+				return serve(workspace, refresh(workspace, limits, now), now);
+			});
+		},
+	};
+}
+
+function grantKey(from: InstanceId, id: number): string {
+	return `${from} ${id}`;
+}
+
+/** An account that was never used has filled since the majority came into force. */
+function openAccount({majoritySince}: ShareFraction): Account {
+	return {
+		bucket: createTokenBucket(),
+		grants: new Map(),
+		queue: createAskQueue(),
+		updatedAt: majoritySince ?? Number.NEGATIVE_INFINITY,
+		capacity: 0,
+	};
+}
+
+function refill({
+	account,
+	limits,
+	fraction,
+	minorityFraction,
+	now,
+}: {
+	readonly account: Account;
+	readonly limits: WorkspaceLimits;
+	readonly fraction: ShareFraction;
+	readonly minorityFraction: number;
+	readonly now: number;
+}): void {
+	const usable = usableSince(fraction, now);
+	// The majority came into force since the last call or shortly before it: the capacity was 0 until
+	// `usable`, and is known not to have fallen since. Otherwise a part that is new starts empty.
+	const isMajorityNew = usable !== undefined && account.updatedAt <= usable;
+	const start = isMajorityNew ? usable : account.updatedAt;
+	const steadyFrom = isMajorityNew
+		? fraction.majoritySince!
+		: Math.min(account.updatedAt, now - ownerGrantTerm);
+	const {authority, isMajority} = steadyAuthority(fraction, minorityFraction, steadyFrom, now);
+	const capacity = tokenCapacity(limits.burst, authority, isMajority);
+	const limit = isMajorityNew ? capacity : Math.min(account.capacity, capacity);
+	if (isMajorityNew) {
+		account.bucket.update(0, 0);
+	}
+
+	// Refill and expiry take place in order of time: an outstanding grant blocks refill until it expires.
+	const perMillisecond = (limits.rate * authority) / 1000;
+	let filledTo = authority === 0 ? now : start;
+	for (const [key, grant] of account.grants) {
+		if (grant.expiresAt > now) {
+			break;
+		}
+
+		const elapsed = Math.max(0, grant.expiresAt - filledTo);
+		account.bucket.update(perMillisecond * elapsed, limit);
+		account.bucket.settle(grant.count - grant.used - grant.returned, false);
+		account.grants.delete(key);
+		filledTo += elapsed;
+	}
+
+	account.bucket.update(perMillisecond * Math.max(0, now - filledTo), limit);
+	account.updatedAt = now;
+	account.capacity = capacity;
+}
+
+/** When grants that earlier owners made before this majority have expired. */
+function usableSince({majoritySince}: ShareFraction, now: number): number | undefined {
+	if (majoritySince === undefined || majoritySince + ownerGrantTerm > now) {
+		return undefined;
+	}
+
+	return majoritySince + ownerGrantTerm;
+}
+
+function recordGrant(
+	account: Account,
+	{
+		message,
+		from,
+		count,
+		now,
+	}: {
+		readonly message: TokenAsk;
+		readonly from: InstanceId;
+		readonly count: number;
+		readonly now: number;
+	},
+): Outbound<RequesterBoundTokenMessage> {
+	const answer = {
+		to: from,
+		message: {
+			kind: 'token-grant',
+			id: message.id,
+			workspace: message.workspace,
+			count,
+			validFor: grantTerm,
+			// Unreported use blocks capacity for one term; a quarter of it is left for that.
+			report: account.bucket.outstanding * 4 > account.capacity,
+		},
+	} as const;
+	account.grants.set(grantKey(from, message.id), {
+		count,
+		expiresAt: now + ownerGrantTerm,
+		answer,
+		used: 0,
+		returned: 0,
+	});
+	return answer;
+}
+
+/** Settled grants stay recorded until their term ends, so that a late copy of the ask gets no new tokens. */
+function settleGrant(account: Account, message: TokenReturn, from: InstanceId): void {
+	const grant = account.grants.get(grantKey(from, message.id));
+	if (grant === undefined) {
+		return;
+	}
+
+	const left = grant.count - grant.used - grant.returned;
+	const used = Math.min(left, Math.max(0, message.used - grant.used));
+	const returned = Math.min(left - used, Math.max(0, message.returned - grant.returned));
+	grant.used += used;
+	grant.returned += returned;
+	account.bucket.settle(used, false);
+	account.bucket.settle(returned, true);
+}
+
+function refusal(
+	{id, workspace}: TokenAsk,
+	to: InstanceId,
+	retryAfter: number,
+): Outbound<RequesterBoundTokenMessage> {
+	return {to, message: {kind: 'token-refusal', id, workspace, retryAfter}};
+}
--- /dev/null
+++ b/packages/policy-limits/src/static-split.ts
@@ -0,0 +1,25 @@
+/**
+ * Baseline: every instance may use a fixed equal part of each rate and burst. It needs no messages
+ * and holds in every partition, but refuses a workspace whose requests arrive unevenly.
+ */
+import {createRateRequester, type RateRequester} from './rate-requester.js';
+import {type LimitsLookup} from './workspace-limits.js';
+
+export type StaticSplitOptions = {
+	/** Number of parts, at least the number of instances. */
+	readonly instances: number;
+	readonly limits: LimitsLookup;
+};
+
+/** Sends no messages. Parts of a burst below one token are rounded up to one token. */
+export function createStaticSplit({instances, limits}: StaticSplitOptions): RateRequester {
+	return createRateRequester({
+		owner: () => undefined,
+		ownShare: () => 1 / instances,
+		minorityFraction: () => 1,
+		limits(workspace) {
+			const whole = limits(workspace);
+			return whole && {rate: whole.rate, burst: Math.max(whole.burst, instances)};
+		},
+	});
+}
--- /dev/null
+++ b/packages/policy-limits/src/token-bucket.ts
@@ -0,0 +1,58 @@
+/**
+ * A token bucket whose rate and capacity may change between two uses. Tokens that are granted but
+ * not yet known to be used count against the capacity, so tokens and grants together never exceed
+ * it, except for grants made before the capacity fell.
+ */
+
+export type TokenBucket = {
+	/** Whole and fractional tokens that may be granted now. */
+	readonly tokens: number;
+	/** Granted tokens that may still be used. */
+	readonly outstanding: number;
+	/** Adds `refill` tokens and drops what, with the outstanding ones, exceeds `limit`. */
+	update(refill: number, limit: number): void;
+	/** Grants at most `count` whole tokens; returns how many, 0 when there are none. */
+	grant(count: number): number;
+	/** Ends `count` outstanding tokens: used or expired ones are gone, returned ones can be granted again. */
+	settle(count: number, isReturned: boolean): void;
+};
+
+/** Absorbs rounding of fractional refills, in tokens. */
+const tolerance = 1e-9;
+
+export function createTokenBucket(): TokenBucket {
+	let tokens = 0;
+	let outstanding = 0;
+	let limit = 0;
+
+	function clip(): void {
+		tokens = Math.max(0, Math.min(tokens, limit - outstanding));
+	}
+
+	return {
+		get tokens() {
+			return tokens;
+		},
+		get outstanding() {
+			return outstanding;
+		},
+		update(refill, newLimit) {
+			tokens += refill;
+			limit = newLimit;
+			clip();
+		},
+		grant(count) {
+			const granted = Math.min(count, Math.floor(tokens + tolerance));
+			tokens = Math.max(0, tokens - granted);
+			outstanding += granted;
+			return granted;
+		},
+		settle(count, isReturned) {
+			outstanding -= count;
+			if (isReturned) {
+				tokens += count;
+				clip();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/policy-limits/src/token-messages.ts
@@ -0,0 +1,48 @@
+/**
+ * Messages about workspace tokens between a requester (entry side) and the owner of
+ * `rate:<workspace>`. `id` is chosen by the requester for its ask and is unique among its asks; all
+ * other messages repeat it. Every message may be lost, duplicated, delayed or reordered.
+ */
+
+export type TokenAsk = {
+	readonly kind: 'token-ask';
+	readonly id: number;
+	readonly workspace: string;
+	/** Tokens wanted, at least 1. The owner may grant fewer. */
+	readonly count: number;
+	/** Milliseconds for which the oldest request behind the ask has waited. */
+	readonly waited: number;
+};
+
+export type TokenGrant = {
+	readonly kind: 'token-grant';
+	readonly id: number;
+	readonly workspace: string;
+	readonly count: number;
+	/** Milliseconds; the requester counts them from when it first sent the ask. */
+	readonly validFor: number;
+	/** Whether the owner needs to know at once when all tokens are used. */
+	readonly report: boolean;
+};
+
+export type TokenRefusal = {
+	readonly kind: 'token-refusal';
+	readonly id: number;
+	readonly workspace: string;
+	/** Milliseconds after which another ask makes sense. */
+	readonly retryAfter: number;
+};
+
+/** Totals for the grant so far, so that a repeated or late message changes nothing. */
+export type TokenReturn = {
+	readonly kind: 'token-return';
+	readonly id: number;
+	readonly workspace: string;
+	readonly used: number;
+	/** Tokens that the requester gave up and will not use. */
+	readonly returned: number;
+};
+
+export type TokenMessage = TokenAsk | TokenGrant | TokenRefusal | TokenReturn;
+export type OwnerBoundTokenMessage = TokenAsk | TokenReturn;
+export type RequesterBoundTokenMessage = TokenGrant | TokenRefusal;
--- /dev/null
+++ b/packages/policy-limits/src/workspace-limits.ts
@@ -0,0 +1,60 @@
+/**
+ * Limits of a workspace, and the parts of them that a fraction of the shares allows.
+ */
+import {rateAuthority} from '@shallotpond/policy-membership/authority';
+import {type Resource, type ShareFraction} from '@shallotpond/policy-membership/share-fraction';
+
+export type WorkspaceLimits = {
+	/** Requests per second. */
+	readonly rate: number;
+	/** Requests at once; a fractional part is not used. */
+	readonly burst: number;
+};
+
+/** The limits of a workspace in the configuration in force; undefined when there is none. */
+export type LimitsLookup = (workspace: string) => WorkspaceLimits | undefined;
+
+/**
+ * Milliseconds for which a grant is valid. A new owner grants nothing until the grants of earlier
+ * owners have expired, and a request waits at most 250 ms, during which the backlog of that time
+ * must be served too.
+ */
+export const grantTerm = 100;
+
+/** Clocks of two instances may differ in speed by 1%, so the owner counts a longer term. */
+export const ownerGrantTerm = grantTerm * 1.01;
+
+/** Milliseconds for which `ShareFraction.vested` vouches: one slot grant term. */
+const vestedTerm = 4000;
+
+export function rateResource(workspace: string): Resource {
+	return `rate:${workspace}`;
+}
+
+/**
+ * Lower bound, 0 to 1, of the authority that this instance had at every moment from `from` to
+ * `now`. Shares that left and came back between two calls are not seen in `current`; only
+ * `majoritySince` and `vested` tell that the fraction did not fall in between.
+ */
+export function steadyAuthority(
+	fraction: ShareFraction,
+	minorityFraction: number,
+	from: number,
+	now: number,
+): {readonly authority: number; readonly isMajority: boolean} {
+	const steady = now - from <= vestedTerm ? Math.min(fraction.vested, fraction.current) : 0;
+	if (fraction.majoritySince !== undefined && fraction.majoritySince <= from) {
+		return {authority: 1 - minorityFraction * (1 - Math.max(1 / 2, steady)), isMajority: true};
+	}
+
+	return {authority: rateAuthority(steady, minorityFraction), isMajority: steady > 1 / 2};
+}
+
+/**
+ * Whole tokens that a part of the burst allows. The majority rounds up and minorities round down,
+ * so the sum over all owners is at most the burst, and a burst of 1 is usable below D instances.
+ */
+export function tokenCapacity(burst: number, authority: number, isMajority: boolean): number {
+	const product = Math.round(Math.floor(burst) * authority * 1e9) / 1e9;
+	return isMajority ? Math.ceil(product) : Math.floor(product);
+}
