--- /dev/null
+++ b/packages/configuration/src/document-manifest.ts
@@ -0,0 +1,128 @@
+/**
+ * Documents above the size of one value of the configuration service are published as a manifest
+ * that lists the digests of their parts.
+ */
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import {ConfigurationError} from './configuration-error.js';
+import {digestBytes, toCanonicalJson} from './document-digest.js';
+import {type ConfigurationDocument} from './document-schema.js';
+import {formatPath, parseDocument} from './parse-document.js';
+
+/** Largest part, bytes: 1 MB in the smaller of its two usual meanings. */
+export const largestPart = 1_000_000;
+/** Bounds the memory that a manifest can make a reader use to 64 MB. */
+export const mostParts = 64;
+
+const digest = z.string().regex(/^[\da-f]{64}$/, 'must be a SHA-256 digest in hex');
+
+const manifestSchema = z.strictObject({
+	version: z.number().int().min(1),
+	/** SHA-256 over the joined parts. */
+	digest,
+	parts: z
+		.array(z.strictObject({digest, size: z.number().int().min(1).max(largestPart)}))
+		.min(1)
+		.max(mostParts),
+});
+
+export type DocumentManifest = z.output<typeof manifestSchema>;
+
+export type SplitDocument = {
+	readonly manifest: DocumentManifest;
+	/** The parts in the order of the manifest. */
+	readonly parts: readonly Uint8Array[];
+};
+
+/** True for an answer that is a manifest, valid or not, instead of a document. */
+export function isManifest(value: unknown): boolean {
+	return typeof value === 'object' && value !== null && 'parts' in value;
+}
+
+/** Throws a `ConfigurationError` (`invalid-document`) that names every problem. */
+export function parseManifest(value: unknown): DocumentManifest {
+	const result = manifestSchema.safeParse(value);
+	if (!result.success) {
+		throw new ConfigurationError(
+			'invalid-document',
+			result.error.issues.map(issue => `manifest.${formatPath(issue.path)}: ${issue.message}`),
+		);
+	}
+
+	return result.data;
+}
+
+/** Throws a `ConfigurationError` when the document needs more than `mostParts` parts. */
+export function splitDocument(
+	document: ConfigurationDocument,
+	partSize: number = largestPart,
+): SplitDocument {
+	const bytes = Buffer.from(toCanonicalJson(document));
+	const parts: Uint8Array[] = [];
+	for (let start = 0; start < bytes.length; start += partSize) {
+		parts.push(bytes.subarray(start, start + partSize));
+	}
+
+	const manifest = parseManifest({
+		version: document.version,
+		digest: digestBytes(bytes),
+		parts: parts.map(part => ({digest: digestBytes(part), size: part.length})),
+	});
+	return {manifest, parts};
+}
+
+/**
+ * Checks one part against its entry in the manifest. Throws a `ConfigurationError`
+ * (`digest-mismatch`).
+ */
+export function checkPart(manifest: DocumentManifest, index: number, part: Uint8Array): void {
+	const expected = manifest.parts[index];
+	if (expected?.size !== part.length || expected.digest !== digestBytes(part)) {
+		throw new ConfigurationError('digest-mismatch', [
+			`manifest.parts[${index}]: the ${part.length} bytes read do not have the listed size and digest`,
+		]);
+	}
+}
+
+/**
+ * Joins, checks and parses. Throws a `ConfigurationError`: `digest-mismatch` when a part or the
+ * whole does not match the manifest, `invalid-document` when the joined text is not a document.
+ */
+export function joinDocument(
+	manifest: DocumentManifest,
+	parts: readonly Uint8Array[],
+): ConfigurationDocument {
+	if (parts.length !== manifest.parts.length) {
+		throw new ConfigurationError('digest-mismatch', [
+			`manifest.parts: ${manifest.parts.length} parts are listed, ${parts.length} were read`,
+		]);
+	}
+
+	for (const [index, part] of parts.entries()) {
+		checkPart(manifest, index, part);
+	}
+
+	const bytes = Buffer.concat(parts);
+	if (digestBytes(bytes) !== manifest.digest) {
+		throw new ConfigurationError('digest-mismatch', [
+			'manifest.digest: differs from the digest of the joined parts',
+		]);
+	}
+
+	const document = parseDocument(parseJson(bytes));
+	if (document.version !== manifest.version) {
+		throw new ConfigurationError('digest-mismatch', [
+			`manifest.version: is ${manifest.version}, but the document says ${document.version}`,
+		]);
+	}
+
+	return document;
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+	try {
+		return JSON.parse(new TextDecoder('utf8', {fatal: true}).decode(bytes));
+	} catch (error) {
+		throw new ConfigurationError('invalid-document', ['document: is not JSON'], {cause: error});
+	}
+}
--- /dev/null
+++ b/packages/io-platform/src/call-budget.ts
@@ -0,0 +1,58 @@
+/**
+ * Limits the calls of one client, so that no state of the client or of the platform turns it into
+ * a flood. In any span of t seconds at most `burst + callsPerSecond * t` calls begin.
+ */
+import {type Clock} from '@shallotpond/kernel/clock';
+import {PlatformError} from './platform-error.js';
+import {sleep} from './sleep.js';
+
+/**
+ * Hard caps that no setting exceeds. The configuration service bears 2,000 reads/s, so 800
+ * instances at the cap stay below that.
+ */
+export const mostCallsPerSecond = 2;
+/** Enough for a manifest with `mostParts` parts read in one go. */
+export const largestBurst = 65;
+
+export type CallBudgetOptions = {
+	readonly clock: Clock;
+	readonly callsPerSecond: number;
+	readonly burst: number;
+};
+
+export type CallBudget = {
+	/** Resolves when a call may begin; rejects only when the signal is aborted. */
+	take(signal: AbortSignal): Promise<void>;
+};
+
+/** Throws a `PlatformError` (`invalid-options`) above a hard cap. */
+export function createCallBudget({clock, callsPerSecond, burst}: CallBudgetOptions): CallBudget {
+	const isRateValid = callsPerSecond > 0 && callsPerSecond <= mostCallsPerSecond;
+	if (!isRateValid || !(burst >= 1 && burst <= largestBurst)) {
+		throw new PlatformError(
+			'invalid-options',
+			`callsPerSecond must be above 0 and at most ${mostCallsPerSecond}, and burst 1 to ${largestBurst}`,
+		);
+	}
+
+	let tokens = burst;
+	let filledAt = clock.monotonic();
+
+	function refill(): void {
+		const now = clock.monotonic();
+		tokens = Math.min(burst, tokens + ((now - filledAt) / 1000) * callsPerSecond);
+		filledAt = now;
+	}
+
+	return {
+		async take(signal) {
+			refill();
+			while (tokens < 1) {
+				await sleep(clock, Math.ceil(((1 - tokens) / callsPerSecond) * 1000), signal);
+				refill();
+			}
+
+			tokens -= 1;
+		},
+	};
+}
--- /dev/null
+++ b/packages/io-platform/src/call-task.ts
@@ -0,0 +1,113 @@
+/**
+ * The task of a platform client: it calls, waits and calls again until it is stopped. Failures are
+ * reported and never leave the task.
+ */
+import {type Clock} from '@shallotpond/kernel/clock';
+import {toPlatformError, type PlatformError} from './platform-error.js';
+import {sleep} from './sleep.js';
+
+export type CallTaskOptions = {
+	readonly clock: Clock;
+	/** One call with its effects. */
+	readonly call: (signal: AbortSignal) => Promise<void>;
+	/** Milliseconds until the next call; `failures` counts the failures in a row. */
+	readonly delayAfter: (failures: number) => number;
+	readonly onFailure: (error: PlatformError) => void;
+};
+
+export type CallTaskStatus = {
+	/** Monotonic milliseconds of the last call that succeeded. */
+	readonly lastContact: number | undefined;
+	/** Failures since the last success. */
+	readonly failuresInRow: number;
+	/** Failures since the start. */
+	readonly failures: number;
+	readonly lastError: PlatformError | undefined;
+};
+
+export type CallTask = {
+	start(): void;
+	/** Ends the current call and resolves when the task has ended. */
+	stop(): Promise<void>;
+	/** Makes the next call now instead of after the current delay. */
+	wake(): void;
+	readonly status: CallTaskStatus;
+};
+
+export function createCallTask({clock, call, delayAfter, onFailure}: CallTaskOptions): CallTask {
+	const stopping = new AbortController();
+	let waiting = new AbortController();
+	let ended: Promise<void> = Promise.resolve();
+	let isStarted = false;
+	let lastContact: number | undefined;
+	let failuresInRow = 0;
+	let failures = 0;
+	let lastError: PlatformError | undefined;
+
+	function recordFailure(error: unknown): void {
+		if (stopping.signal.aborted) {
+			return;
+		}
+
+		failuresInRow++;
+		failures++;
+		lastError = toPlatformError(error, 'handler-failed');
+		try {
+			onFailure(lastError);
+		} catch (handlerError) {
+			// A failing report must not end the task; it stays visible in the status.
+			lastError = toPlatformError(handlerError, 'handler-failed');
+		}
+	}
+
+	async function callOnce(): Promise<void> {
+		try {
+			await call(stopping.signal);
+			lastContact = clock.monotonic();
+			failuresInRow = 0;
+		} catch (error) {
+			recordFailure(error);
+		}
+	}
+
+	async function pause(): Promise<void> {
+		waiting = new AbortController();
+		const delay = delayAfter(failuresInRow);
+		if (delay === 0 || stopping.signal.aborted) {
+			return;
+		}
+
+		try {
+			await sleep(clock, delay, waiting.signal);
+		} catch {
+			// The wait was cut short by `wake` or `stop`.
+		}
+	}
+
+	async function run(): Promise<void> {
+		while (!stopping.signal.aborted) {
+			await callOnce();
+			await pause();
+		}
+	}
+
+	return {
+		start() {
+			if (!isStarted) {
+				isStarted = true;
+				ended = run();
+			}
+		},
+		async stop() {
+			stopping.abort();
+			waiting.abort();
+			await ended;
+		},
+		wake() {
+			waiting.abort();
+		},
+		get status() {
+			return {lastContact, failuresInRow, failures, lastError};
+		},
+	};
+}
--- /dev/null
+++ b/packages/io-platform/src/configuration-client.ts
@@ -0,0 +1,240 @@
+/**
+ * Reads and watches the configuration service. A few instances watch by long poll; all others ask
+ * now and then, because they learn of new versions from their peers. Only a complete document of a
+ * higher version is passed on.
+ *
+ * Protocol: `GET /v1/configuration` returns the document, or a manifest of its parts, with `ETag:
+ * "<version>"`; with `?after=<version>&wait=<seconds>` it returns when a higher version exists, or
+ * 304 at the end; `GET /v1/configuration/values/<digest>` returns one part.
+ */
+import {type ConfigurationDocument} from '@shallotpond/configuration/document-schema';
+import {digestDocument} from '@shallotpond/configuration/document-digest';
+import {
+	checkPart,
+	isManifest,
+	joinDocument,
+	parseManifest,
+} from '@shallotpond/configuration/document-manifest';
+import {parseDocument} from '@shallotpond/configuration/parse-document';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {type Random} from '@shallotpond/kernel/random';
+import {backOffDelay} from './back-off.js';
+import {createCallBudget, largestBurst} from './call-budget.js';
+import {createCallTask, type CallTaskStatus} from './call-task.js';
+import {callHttp, parseJsonAnswer, type HttpAnswer} from './http-call.js';
+import {PlatformError, toPlatformError} from './platform-error.js';
+
+/** Bytes: 1 MB in the larger of its two usual meanings, so that no legal value is refused. */
+const largestValue = 1_048_576;
+const defaultCallsPerSecond = 1;
+const defaultReadTimeout = 5000;
+const defaultWatchWait = 10_000;
+const defaultPollInterval = 60_000;
+/** Short enough that a returning service is found well within the time to spread a change. */
+const backOff = {first: 200, longest: 5000};
+
+export type ConfigurationClientMode = 'watch' | 'poll';
+
+export type ConfigurationVersion = {
+	readonly version: number;
+	readonly digest: string;
+};
+
+export type ConfigurationClientOptions = {
+	/** For example `http://10.0.0.2:8300`. */
+	readonly url: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	/** What the instance has in force, from whatever source; undefined before the first adoption. */
+	readonly current: () => ConfigurationVersion | undefined;
+	/** Gets each document with a version above the current one, and its digest. */
+	readonly onDocument: (document: ConfigurationDocument, digest: string) => void;
+	/** Gets each failed call. */
+	readonly onFailure?: (error: PlatformError) => void;
+	/** Default `poll`. */
+	readonly mode?: ConfigurationClientMode;
+	/** Sustained calls per second, at most `mostCallsPerSecond`; default 1. */
+	readonly callsPerSecond?: number;
+	/** Calls at once, at most and by default `largestBurst`. */
+	readonly burst?: number;
+	/** Milliseconds for one read, and on top of the wait of a watch; default 5,000. */
+	readonly readTimeout?: number;
+	/** Whole seconds in milliseconds that a watch waits; default 10,000. */
+	readonly watchWait?: number;
+	/** Mean milliseconds between two polls, drawn from half to one and a half of it; default 60,000. */
+	readonly pollInterval?: number;
+};
+
+export type ConfigurationClientStatus = {
+	/** Calls begun, including parts; a waiting watch is one call. */
+	readonly calls: number;
+} & CallTaskStatus;
+
+export type ConfigurationClient = {
+	start(): void;
+	/** Ends the current call; resolves when the task has ended. */
+	stop(): Promise<void>;
+	setMode(mode: ConfigurationClientMode): void;
+	/** Asks now instead of at the next poll, within the call budget. */
+	refresh(): void;
+	/**
+	 * `lastContact` does not advance on an answer that is older than the current version: a service
+	 * that is known to be stale does not show whether a key was withdrawn.
+	 */
+	readonly status: ConfigurationClientStatus;
+};
+
+/** The version in an `ETag`; undefined when there is none. Throws on another form. */
+function versionOfTag(answer: HttpAnswer): number | undefined {
+	const {etag} = answer.headers;
+	if (etag === undefined) {
+		return undefined;
+	}
+
+	const digits = /^"(\d{1,15})"$/.exec(etag)?.[1];
+	if (digits === undefined) {
+		throw new PlatformError('malformed-answer', 'the ETag is not a version in quotes');
+	}
+
+	return Number(digits);
+}
+
+function refuseStale(version: number | undefined, current: ConfigurationVersion | undefined): void {
+	if (version !== undefined && current !== undefined && version < current.version) {
+		throw new PlatformError(
+			'stale-answer',
+			`the service answered with version ${version}, but version ${current.version} is in force`,
+		);
+	}
+}
+
+/** Throws a `PlatformError` (`invalid-options`) when a setting is out of range. */
+export function createConfigurationClient(
+	options: ConfigurationClientOptions,
+): ConfigurationClient {
+	const {
+		clock,
+		random,
+		callsPerSecond = defaultCallsPerSecond,
+		burst = largestBurst,
+		readTimeout = defaultReadTimeout,
+		watchWait = defaultWatchWait,
+		pollInterval = defaultPollInterval,
+	} = options;
+	const budget = createCallBudget({clock, callsPerSecond, burst});
+	let {mode = 'poll'} = options;
+	let calls = 0;
+
+	async function get(path: string, timeout: number, signal: AbortSignal): Promise<HttpAnswer> {
+		await budget.take(signal);
+		calls++;
+		const url = new URL(path, options.url);
+		const answer = await callHttp({url, timeout, largestAnswer: largestValue, clock, signal});
+		if (answer.status !== 200 && answer.status !== 304) {
+			throw new PlatformError('unexpected-status', `the service answered ${answer.status}`);
+		}
+
+		return answer;
+	}
+
+	async function readParts(value: unknown, signal: AbortSignal): Promise<ConfigurationDocument> {
+		const manifest = parseManifest(value);
+		const parts: Uint8Array[] = [];
+		for (const [index, {digest}] of manifest.parts.entries()) {
+			const answer = await get(`/v1/configuration/values/${digest}`, readTimeout, signal);
+			checkPart(manifest, index, answer.body);
+			parts.push(answer.body);
+		}
+
+		return joinDocument(manifest, parts);
+	}
+
+	/** Converts the errors of the configuration layer. */
+	async function readDocument(
+		answer: HttpAnswer,
+		signal: AbortSignal,
+	): Promise<ConfigurationDocument> {
+		const value = parseJsonAnswer(answer);
+		try {
+			return isManifest(value) ? await readParts(value, signal) : parseDocument(value);
+		} catch (error) {
+			throw toPlatformError(error, 'malformed-answer');
+		}
+	}
+
+	function accept(document: ConfigurationDocument): void {
+		const current = options.current();
+		refuseStale(document.version, current);
+		const digest = digestDocument(document);
+		if (document.version === current?.version) {
+			if (digest !== current.digest) {
+				throw new PlatformError(
+					'conflicting-answer',
+					`the service has another document with version ${document.version}`,
+				);
+			}
+
+			return;
+		}
+
+		try {
+			options.onDocument(document, digest);
+		} catch (error) {
+			throw toPlatformError(error, 'handler-failed');
+		}
+	}
+
+	async function call(signal: AbortSignal): Promise<void> {
+		const current = options.current();
+		const wait = mode === 'watch' && current !== undefined ? watchWait : 0;
+		const query =
+			current === undefined ? '' : `?after=${current.version}&wait=${Math.floor(wait / 1000)}`;
+		const answer = await get(`/v1/configuration${query}`, readTimeout + wait, signal);
+		const version = versionOfTag(answer);
+		refuseStale(version, current);
+		if (answer.status === 304) {
+			return;
+		}
+
+		const document = await readDocument(answer, signal);
+		if (version !== undefined && version !== document.version) {
+			throw new PlatformError(
+				'malformed-answer',
+				`the ETag says version ${version}, but the document says ${document.version}`,
+			);
+		}
+
+		accept(document);
+	}
+
+	function delayAfter(failures: number): number {
+		// An instance that polls has its peers as a source, so it does not ask more often while the
+		// service fails; an instance without any document does.
+		const isUrgent = mode === 'watch' || options.current() === undefined;
+		if (!isUrgent) {
+			return pollInterval * (0.5 + random());
+		}
+
+		return failures === 0 ? 0 : backOffDelay(failures, {random, ...backOff});
+	}
+
+	const task = createCallTask({
+		clock,
+		call,
+		delayAfter,
+		onFailure: error => options.onFailure?.(error),
+	});
+
+	return {
+		start: task.start,
+		stop: task.stop,
+		setMode(next) {
+			mode = next;
+			task.wake();
+		},
+		refresh: task.wake,
+		get status() {
+			return {...task.status, calls};
+		},
+	};
+}
--- /dev/null
+++ b/packages/io-platform/src/http-call.ts
@@ -0,0 +1,95 @@
+/**
+ * One HTTP call with a time limit and a size limit on the answer. Each call uses a connection of
+ * its own: calls are rare, and a pooled connection may have gone silent unnoticed.
+ */
+import {Buffer} from 'node:buffer';
+import {request, type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {PlatformError, toPlatformError} from './platform-error.js';
+
+export type HttpCall = {
+	readonly url: URL;
+	readonly method?: 'GET' | 'POST';
+	readonly headers?: Readonly<Record<string, string>>;
+	/** For the whole call until the last byte of the answer, milliseconds. */
+	readonly timeout: number;
+	/** Largest accepted body, bytes. */
+	readonly largestAnswer: number;
+	readonly clock: Clock;
+	readonly signal?: AbortSignal;
+};
+
+export type HttpAnswer = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Uint8Array;
+};
+
+async function readBody(answer: IncomingMessage, largestAnswer: number): Promise<Uint8Array> {
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	for await (const chunk of answer as AsyncIterable<Uint8Array>) {
+		size += chunk.length;
+		if (size > largestAnswer) {
+			throw new PlatformError('answer-too-big', `the answer exceeds ${largestAnswer} bytes`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+}
+
+/**
+ * Resolves with any status. Rejects with a `PlatformError`: `timeout`, `unreachable`,
+ * `answer-too-big` or `stopped` (the signal was aborted).
+ */
+export async function callHttp(call: HttpCall): Promise<HttpAnswer> {
+	const {url, method = 'GET', headers = {}, timeout, largestAnswer, clock, signal} = call;
+	let cancelTimeout: () => void = () => undefined;
+	try {
+		return await new Promise<HttpAnswer>((resolve, reject) => {
+			const outgoing = request(url, {method, headers, agent: false});
+			const fail = (error: unknown) => {
+				reject(toPlatformError(error, 'unreachable'));
+				outgoing.destroy();
+			};
+
+			const abort = () => {
+				fail(new PlatformError('stopped', 'the call was stopped'));
+			};
+
+			cancelTimeout = clock.after(timeout, () => {
+				fail(new PlatformError('timeout', `no complete answer within ${timeout} ms`));
+			});
+			signal?.addEventListener('abort', abort, {once: true});
+			outgoing.on('close', () => signal?.removeEventListener('abort', abort));
+			outgoing.on('error', fail);
+			outgoing.on('response', async answer => {
+				try {
+					const body = await readBody(answer, largestAnswer);
+					resolve({status: answer.statusCode ?? 0, headers: answer.headers, body});
+				} catch (error) {
+					fail(error);
+				}
+			});
+			if (signal?.aborted) {
+				abort();
+				return;
+			}
+
+			outgoing.end();
+		});
+	} finally {
+		cancelTimeout();
+	}
+}
+
+/** Throws a `PlatformError` (`malformed-answer`) when the body is not JSON in UTF-8. */
+export function parseJsonAnswer(answer: HttpAnswer): unknown {
+	try {
+		return JSON.parse(new TextDecoder('utf8', {fatal: true}).decode(answer.body));
+	} catch (error) {
+		throw new PlatformError('malformed-answer', 'the answer is not JSON', {cause: error});
+	}
+}
--- /dev/null
+++ b/packages/io-platform/src/instance-list-client.ts
@@ -0,0 +1,102 @@
+/**
+ * Polls the platform's list of instances and targets (`GET /v1/instances`). An unchanged list is
+ * answered with 304 where the platform sends an `ETag`, because the whole list is about 400 KB at
+ * the planned size.
+ */
+import {parseInstanceList, type InstanceList} from '@shallotpond/configuration/instance-list';
+import {type Clock} from '@shallotpond/kernel/clock';
+import {type Random} from '@shallotpond/kernel/random';
+import {createCallBudget, mostCallsPerSecond} from './call-budget.js';
+import {backOffDelay} from './back-off.js';
+import {createCallTask, type CallTaskStatus} from './call-task.js';
+import {callHttp, parseJsonAnswer} from './http-call.js';
+import {PlatformError, toPlatformError} from './platform-error.js';
+
+/** Bytes. */
+const largestList = 4_194_304;
+const defaultTimeout = 2000;
+/** With its jitter of a quarter, a leaving target is seen within 2.5 s of its listing. */
+const defaultPollInterval = 2000;
+const backOff = {first: 500, longest: 5000};
+
+export type InstanceListClientOptions = {
+	/** For example `http://10.0.0.2:8300`. */
+	readonly url: string;
+	readonly clock: Clock;
+	readonly random: Random;
+	/** Gets each list that was read, also when nothing changed but the platform sends no `ETag`. */
+	readonly onList: (list: InstanceList) => void;
+	/** Gets each failed call. The last list stays in force. */
+	readonly onFailure?: (error: PlatformError) => void;
+	/** Milliseconds for one call; default 2,000. */
+	readonly timeout?: number;
+	/** Mean milliseconds between two calls, drawn from 75% to 125% of it; default 2,000. */
+	readonly pollInterval?: number;
+};
+
+export type InstanceListClient = {
+	start(): void;
+	/** Ends the current call; resolves when the task has ended. */
+	stop(): Promise<void>;
+	/** Asks now, within the call budget. */
+	refresh(): void;
+	readonly status: CallTaskStatus;
+};
+
+export function createInstanceListClient(options: InstanceListClientOptions): InstanceListClient {
+	const {clock, random, timeout = defaultTimeout, pollInterval = defaultPollInterval} = options;
+	const budget = createCallBudget({clock, callsPerSecond: mostCallsPerSecond, burst: 2});
+	const url = new URL('/v1/instances', options.url);
+	let tag: string | undefined;
+
+	async function call(signal: AbortSignal): Promise<void> {
+		await budget.take(signal);
+		const headers: Record<string, string> = tag === undefined ? {} : {'if-none-match': tag};
+		const answer = await callHttp({
+			url,
+			headers,
+			timeout,
+			largestAnswer: largestList,
+			clock,
+			signal,
+		});
+		if (answer.status === 304 && tag !== undefined) {
+			return;
+		}
+
+		if (answer.status !== 200) {
+			throw new PlatformError('unexpected-status', `the platform answered ${answer.status}`);
+		}
+
+		const list = parseList(parseJsonAnswer(answer));
+		options.onList(list);
+		tag = answer.headers.etag;
+	}
+
+	const task = createCallTask({
+		clock,
+		call,
+		delayAfter: failures =>
+			failures === 0
+				? pollInterval * (0.75 + random() / 2)
+				: backOffDelay(failures, {random, ...backOff}),
+		onFailure: error => options.onFailure?.(error),
+	});
+
+	return {
+		start: task.start,
+		stop: task.stop,
+		refresh: task.wake,
+		get status() {
+			return task.status;
+		},
+	};
+}
+
+function parseList(value: unknown): InstanceList {
+	try {
+		return parseInstanceList(value);
+	} catch (error) {
+		throw toPlatformError(error, 'malformed-answer');
+	}
+}
--- /dev/null
+++ b/packages/io-platform/src/platform-error.ts
@@ -0,0 +1,35 @@
+/**
+ * Errors of the platform clients. Errors of sockets and of the configuration layer are converted
+ * and kept as `cause`.
+ */
+import {ShallotpondError} from '@shallotpond/kernel/shallotpond-error';
+
+export type PlatformErrorCode =
+	| 'answer-too-big'
+	| 'conflicting-answer'
+	| 'handler-failed'
+	| 'invalid-options'
+	| 'malformed-answer'
+	| 'stale-answer'
+	| 'stopped'
+	| 'timeout'
+	| 'unexpected-status'
+	| 'unreachable';
+
+export class PlatformError extends ShallotpondError {
+	override readonly code: PlatformErrorCode;
+
+	constructor(code: PlatformErrorCode, message: string, options?: ErrorOptions) {
+		super(code, message, options);
+		this.code = code;
+	}
+}
+
+export function toPlatformError(error: unknown, code: PlatformErrorCode): PlatformError {
+	if (error instanceof PlatformError) {
+		return error;
+	}
+
+	const reason = error instanceof Error ? error.message : String(error);
+	return new PlatformError(code, reason, {cause: error});
+}
