Run the whole path as a daemon and as a demo

Cause: nothing connected the decisions, the request path and the platform. Change: services of an instance, found by name in the kernel: peer router, membership, configuration spread, workspace rates, target slots, platform clients, callers and admin; the demo runs two instances with stand-ins. Idempotency keys are refused until their registry is connected.

--- a/packages/io-peer/src/peer-network.ts
+++ b/packages/io-peer/src/peer-network.ts
@@ -57,7 +57,10 @@
 	setPeers(addresses: readonly string[]): void;
 	/** Peers with a proved connection from this instance. */
 	connectedPeers(): readonly InstanceId[];
-	/** False when the message was dropped at once, for want of a connection to that process. */
+	/**
+	 * `to` may be a bare address. False when the message was dropped at once, for want of a
+	 * connection to that process.
+	 */
 	send(to: InstanceId, message: unknown): boolean;
 	/** Notes that the peer has confirmed a message of ours. */
 	confirm(from: InstanceId): void;
@@ -264,8 +267,10 @@
 		},
 		send(to, message) {
 			const link = links.get(addressOf(to));
-			// A message for an earlier process on the same address must not reach its successor.
-			const isSent = link?.peer === to && link.send(message);
+			// A message for an earlier process on the same address must not reach its successor. A bare
+			// address reaches whatever process is there.
+			const isAddressed = to === addressOf(to) || link?.peer === to;
+			const isSent = link !== undefined && isAddressed && link.send(message);
 			if (!isSent) {
 				count('peer-messages-dropped', 1);
 			}
--- a/packages/io-platform/src/configuration-client.ts
+++ b/packages/io-platform/src/configuration-client.ts
@@ -49,6 +49,8 @@
 	readonly current: () => ConfigurationVersion | undefined;
 	/** Gets each document with a version above the current one, and its digest. */
 	readonly onDocument: (document: ConfigurationDocument, digest: string) => void;
+	/** Called when the service has answered that it has no higher version. */
+	readonly onUnchanged?: () => void;
 	/** Gets each failed call. */
 	readonly onFailure?: (error: PlatformError) => void;
 	/** Default `poll`. */
@@ -174,6 +176,7 @@
 				);
 			}
 
+			options.onUnchanged?.();
 			return;
 		}
 
@@ -193,6 +196,7 @@
 		const version = versionOfTag(answer);
 		refuseStale(version, current);
 		if (answer.status === 304) {
+			options.onUnchanged?.();
 			return;
 		}
 
--- a/packages/observability/src/tracing.ts
+++ b/packages/observability/src/tracing.ts
@@ -111,12 +111,10 @@
 	}
 
 	const provider = new BasicTracerProvider({
-		/* eslint-disable @typescript-eslint/naming-convention -- names of OpenTelemetry's conventions */
 		resource: resourceFromAttributes({
 			'service.name': 'shallotpond',
 			'service.instance.id': options.instance,
 		}),
-		/* eslint-enable @typescript-eslint/naming-convention */
 		sampler: new ParentBasedSampler({root: new TraceIdRatioBasedSampler(options.sampleRatio)}),
 		spanProcessors: processors,
 	});
--- /dev/null
+++ b/packages/shallotpond/bin/shallotpond.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import {runProgram} from '../dist/main.js';
+
+await runProgram();
--- /dev/null
+++ b/packages/shallotpond/src/configuration-store.ts
@@ -0,0 +1,55 @@
+/**
+ * The configuration in force. Only a higher version is adopted, and only as a whole; requests that
+ * are in progress see the change at their next check.
+ */
+import {digestDocument} from '@shallotpond/configuration/document-digest';
+import {type ConfigurationDocument} from '@shallotpond/configuration/document-schema';
+import {createLookupTables, type LookupTables} from '@shallotpond/configuration/lookup-tables';
+
+export type ConfigurationListener = (tables: LookupTables) => void;
+
+export type ConfigurationStore = {
+	/** Undefined until the first document has been adopted. */
+	readonly tables: LookupTables | undefined;
+	/** 0 until then. */
+	readonly version: number;
+	readonly digest: string;
+	/** False when the version is not higher than the one in force. */
+	adopt(document: ConfigurationDocument): boolean;
+	/** Called after each adoption, in the order of registration. */
+	onChange(listener: ConfigurationListener): void;
+};
+
+export function createConfigurationStore(): ConfigurationStore {
+	const listeners: ConfigurationListener[] = [];
+	let tables: LookupTables | undefined;
+	let digest = '';
+
+	return {
+		get tables() {
+			return tables;
+		},
+		get version() {
+			return tables?.document.version ?? 0;
+		},
+		get digest() {
+			return digest;
+		},
+		adopt(document) {
+			if (document.version <= (tables?.document.version ?? 0)) {
+				return false;
+			}
+
+			tables = createLookupTables(document);
+			digest = digestDocument(document);
+			for (const listener of listeners) {
+				listener(tables);
+			}
+
+			return true;
+		},
+		onChange(listener) {
+			listeners.push(listener);
+		},
+	};
+}
--- /dev/null
+++ b/packages/shallotpond/src/daemon-settings.ts
@@ -0,0 +1,94 @@
+/**
+ * Settings of the daemon. Every flag is also an environment variable; secrets are read from files
+ * or variables, because command lines are visible to other users of the machine.
+ */
+import {type ParsedSettings} from '@shallotpond/kernel/settings';
+import {
+	addressListSetting,
+	addressSetting,
+	choiceSetting,
+	numberSetting,
+	switchSetting,
+	textSetting,
+	urlSetting,
+} from '@shallotpond/kernel/setting-kinds';
+import {logFormats, logLevels} from '@shallotpond/observability/logger';
+
+export const environmentPrefix = 'SHALLOTPOND';
+
+const milliseconds = {minimum: 0, maximum: 3_600_000, unit: 'ms'} as const;
+
+export const daemonSettings = {
+	help: switchSetting('Print this help and exit.'),
+	version: switchSetting('Print the version and exit.'),
+	listen: addressSetting({
+		description: 'Address for callers.',
+		default: '127.0.0.1:8080',
+	}),
+	'peer-listen': addressSetting({
+		description: 'Address for other instances, which reach it under this number.',
+		default: '127.0.0.1:7400',
+	}),
+	'admin-listen': addressSetting({
+		description: 'Address for operators: /live, /ready, /status, /metrics and /drain.',
+		default: '127.0.0.1:9400',
+	}),
+	'failure-domain': textSetting({
+		description: 'Failure domain in which this instance runs.',
+		default: 'local',
+	}),
+	'configuration-service': urlSetting({
+		description: 'Base URL of the platform’s configuration service.',
+		default: 'http://127.0.0.1:8500',
+	}),
+	peers: addressListSetting({
+		description: 'Peer addresses to start with, before the instance list has been read.',
+	}),
+	'peer-secret': textSetting({
+		description: 'Secret that all instances share; better given by variable or file.',
+	}),
+	'peer-secret-file': textSetting({
+		placeholder: 'path',
+		description: 'File that holds the shared secret in its first line.',
+	}),
+	'peer-tls-certificate': textSetting({
+		placeholder: 'path',
+		description: 'PEM certificate for connections between instances; needs key and authority too.',
+	}),
+	'peer-tls-key': textSetting({placeholder: 'path', description: 'PEM key of that certificate.'}),
+	'peer-tls-authority': textSetting({
+		placeholder: 'path',
+		description: 'PEM certificate of the authority that signs the certificates of all instances.',
+	}),
+	'tls-certificate': textSetting({
+		placeholder: 'path',
+		description: 'PEM certificate for callers; read again on SIGHUP.',
+	}),
+	'tls-key': textSetting({placeholder: 'path', description: 'PEM key for callers.'}),
+	'target-tls-authority': textSetting({
+		placeholder: 'path',
+		description: 'PEM certificates that sign those of targets; the system’s by default.',
+	}),
+	'drain-grace': numberSetting(milliseconds, {
+		description: 'Time for which a stopping instance still takes new requests.',
+		default: '5000',
+	}),
+	'drain-limit': numberSetting(milliseconds, {
+		description: 'Longest time that a stopping instance waits for requests to end.',
+		default: '600000',
+	}),
+	'log-format': choiceSetting(logFormats, {description: 'Format of log lines.', default: 'json'}),
+	'log-level': choiceSetting(logLevels, {
+		description: 'Least level of log lines.',
+		default: 'info',
+	}),
+	'trace-endpoint': urlSetting({
+		description: 'OTLP/HTTP collector, for example http://127.0.0.1:4318/v1/traces.',
+	}),
+	'trace-ratio': numberSetting(
+		{minimum: 0, maximum: 1, unit: 'ratio'},
+		{description: 'Part of new traces that are recorded.', default: '0.01'},
+	),
+} as const;
+
+export type DaemonSettings = ParsedSettings<typeof daemonSettings>['values'];
--- a/xo.config.js
+++ b/xo.config.js
@@ -14,6 +14,19 @@
 			// `clock.every(interval, callback)` looks like the method of arrays to these rules.
 			'unicorn/no-array-callback-reference': 'off',
 			'unicorn/no-array-method-this-argument': 'off',
+			// Names of attributes, headers and message kinds that need quotes follow their own standards.
+			'@typescript-eslint/naming-convention': [
+				'error',
+				{
+					selector: 'default',
+					format: ['strictCamelCase', 'StrictPascalCase'],
+					leadingUnderscore: 'allow',
+				},
+				{selector: 'objectLiteralProperty', modifiers: ['requiresQuotes'], format: null},
+				{selector: 'import', format: null},
+				{selector: 'typeProperty', modifiers: ['requiresQuotes'], format: null},
+				{selector: 'objectLiteralMethod', modifiers: ['requiresQuotes'], format: null},
+			],
 			// The order of members follows the order in which a reader needs them.
 			'@typescript-eslint/member-ordering': 'off',
 		},
