Decide how configuration versions spread and test membership

Instances need a rule for who watches the configuration service and from whom the others pull, so that reads stay a small constant per failure domain and a version never reverts.

--- a/packages/policy-membership/src/__tests__/fleet.ts
+++ b/packages/policy-membership/src/__tests__/fleet.ts
@@ -24,7 +24,7 @@
 	readonly maxInstances?: number;
 };
 
-export const resources = Array.from({length: 6}, (_, index) => `shard:roster/${index}`);
+export const resources = Array.from({length: 4}, (_, index) => `shard:roster/${index}`);
 
 /** The largest difference of clock speeds that leases must bear is 1%. */
 const speeds = [1, 1.005, 1.01];
--- /dev/null
+++ b/packages/policy-membership/src/__tests__/share-lending.test.ts
@@ -0,0 +1,152 @@
+/**
+ * The two sides of a lease at exact times, for the limits that random schedules seldom reach.
+ */
+import {expect, test} from '@jest/globals';
+import {type Handover} from '../heartbeat.js';
+import {createView, type View} from '../rendezvous.js';
+import {createShareLender, type Borrower} from '../share-lender.js';
+import {createShareOwner} from '../share-owner.js';
+
+const resource = 'shard:roster/0';
+const everyone = ['a#1', 'b#1', 'c#1'];
+const winner = createView(everyone).winner(resource)!;
+const others = everyone.filter(member => member !== winner);
+const [second, third] = createView(others).ranking(resource) as [string, string];
+const full = createView(everyone);
+const reduced = createView(others);
+
+function createOwner(self: string, maxInstances = 3, views: readonly View[] = [full, reduced]) {
+	const known = new Map(views.map(view => [view.digest, view]));
+	return createShareOwner({
+		self,
+		maxInstances: () => maxInstances,
+		viewOf: digest => known.get(digest),
+	});
+}
+
+function createLender(self: string, borrowers: Record<string, Borrower>, startedAt = -10_000) {
+	return createShareLender({self, startedAt, borrower: id => borrowers[id]});
+}
+
+const silent = {heardAt: 0, confirmed: 0, hasRelinquished: false};
+
+test('a lender whose clock is 1% fast waits out the lease (guards against a missing drift margin)', () => {
+	const owner = createOwner(winner);
+	const lender = createLender(second, {[winner]: silent, [third]: silent});
+	lender.update(full, 1, 0);
+	owner.lend(second, 2000, [full.digest], 0);
+	lender.update(reduced, 2, 0);
+	let reclaimedAt: number | undefined;
+	for (let time = 0; time <= 2100; time++) {
+		const lenderTime = time * 1.01;
+		lender.update(reduced, 2, lenderTime);
+		const isReclaimed = lender.ownerOf(resource, lenderTime) === second;
+		const isUsed = owner.fraction(resource, time).current > 0;
+		expect({time, both: isReclaimed && isUsed}).toEqual({time, both: false});
+		if (isReclaimed) {
+			reclaimedAt ??= time;
+		}
+	}
+
+	expect(reclaimedAt).toBe(2000);
+});
+
+test('a confirmed change needs no wait, an unconfirmed one lends to no one meanwhile', () => {
+	const borrowers: Record<string, Borrower> = {[winner]: silent, [third]: silent};
+	const lender = createLender(second, borrowers);
+	lender.update(reduced, 1, 0);
+	lender.update(full, 2, 0);
+	expect(lender.liveViews()).toEqual([reduced, full]);
+	expect(lender.ownerOf(resource, 0)).toBeUndefined();
+	borrowers[third] = {...silent, confirmed: 1};
+	lender.update(full, 3, 10);
+	expect(lender.liveViews()).toHaveLength(2);
+	borrowers[third] = {...silent, confirmed: 2};
+	lender.update(full, 3, 20);
+	expect(lender.liveViews()).toEqual([full]);
+	expect(lender.ownerOf(resource, 20)).toBe(winner);
+});
+
+test('a started process lends nothing for a lease (guards against lending a share twice)', () => {
+	const lender = createLender(second, {}, 0);
+	lender.update(full, 1, 2019);
+	expect(lender.liveViews()).toEqual([]);
+	expect(lender.ownerOf(resource, 2019)).toBeUndefined();
+	lender.update(full, 1, 2020);
+	expect(lender.ownerOf(resource, 2020)).toBe(winner);
+});
+
+test('a lease ends by the clock at use (guards against use after a pause)', () => {
+	const owner = createOwner(winner);
+	owner.lend(second, 2000, [full.digest], 0);
+	expect(owner.fraction(resource, 1999.9).current).toBe(1 / 3);
+	expect(owner.fraction(resource, 2000).current).toBe(0);
+});
+
+test('a share counts only if the owner wins in all live views, all of them known', () => {
+	const owner = createOwner(winner);
+	owner.lend(second, 2000, [full.digest, reduced.digest], 0);
+	owner.lend(third, 2000, [full.digest, 'unknown'], 0);
+	expect(owner.fraction(resource, 1).current).toBe(0);
+	owner.lend(second, 2000, [full.digest], 2);
+	expect(owner.fraction(resource, 2).current).toBe(1 / 3);
+});
+
+test('lenders vest after a term and lose it with a gap (guards against grants of two owners)', () => {
+	const owner = createOwner(winner);
+	owner.lend(second, 6000, [full.digest], 0);
+	expect(owner.fraction(resource, 4039).vested).toBe(0);
+	expect(owner.fraction(resource, 4040).vested).toBe(1 / 3);
+	owner.lend(second, 9000, [full.digest, reduced.digest], 4100);
+	owner.lend(second, 9000, [full.digest], 4200);
+	expect(owner.fraction(resource, 8000).vested).toBe(0);
+	expect(owner.fraction(resource, 8240).vested).toBe(1 / 3);
+	owner.lend(second, 20_000, [full.digest], 9001);
+	expect(owner.fraction(resource, 13_000)).toMatchObject({current: 1 / 3, vested: 0});
+});
+
+test('a majority lasts while its lenders are replaced one by one, and ends with a gap', () => {
+	const owner = createOwner(winner, 3);
+	const forever = Number.POSITIVE_INFINITY;
+	owner.lend(winner, forever, [full.digest], 0);
+	owner.lend(second, 1000, [full.digest], 100);
+	expect(owner.fraction(resource, 500).majoritySince).toBe(100);
+	owner.lend(third, 5000, [full.digest], 500);
+	expect(owner.fraction(resource, 900).majoritySince).toBe(100);
+	expect(owner.fraction(resource, 2000).majoritySince).toBe(100);
+	expect(owner.fraction(resource, 5000).majoritySince).toBeUndefined();
+	owner.lend(third, 9000, [full.digest], 6000);
+	expect(owner.fraction(resource, 6000).majoritySince).toBe(6000);
+});
+
+test('a handover vests lenders at once, but not after another owner could have had them', () => {
+	const predecessor = createOwner(winner);
+	predecessor.lend(third, 6000, [full.digest], 0);
+	expect(predecessor.vestedLenders(4000)).toEqual([]);
+	const lenders = predecessor.vestedLenders(5000);
+	predecessor.relinquish();
+	expect(predecessor.fraction(resource, 5000).current).toBe(0);
+	const handover: Handover = {
+		kind: 'handover',
+		from: winner,
+		to: second,
+		echo: 9,
+		successorView: reduced.digest,
+		lenders,
+		viewMembers: [],
+	};
+	for (const [start, vested] of [
+		[5500, 1 / 3],
+		[9001, 0],
+	] as const) {
+		const successor = createOwner(second);
+		successor.acceptHandover(handover, 5000);
+		successor.lend(third, start + 2000, [reduced.digest], start);
+		expect(successor.fraction(resource, start).vested).toBe(vested);
+	}
+
+	const bystander = createOwner(third);
+	bystander.acceptHandover({...handover, to: third}, 5000);
+	bystander.lend(third, 8000, [reduced.digest], 5500);
+	expect(bystander.fraction(resource, 5500).vested).toBe(0);
+});
--- /dev/null
+++ b/packages/policy-membership/src/__tests__/version-spread.test.ts
@@ -0,0 +1,149 @@
+import {expect, test} from '@jest/globals';
+import {createSeededRandom} from '@shallotpond/kernel/random';
+import {
+	createVersionSpread,
+	type SpreadInput,
+	type SpreadPeer,
+	type SpreadRequest,
+} from '../version-spread.js';
+
+const members = Array.from({length: 12}, (_, index) => `10.0.0.${index}:7400#${index}`);
+const domainOf = (instance: string) =>
+	['north', 'south', 'west'][Number(instance.split('#')[1]) % 3];
+const input = (peers: SpreadPeer[] = []): SpreadInput => ({
+	members,
+	failureDomainOf: domainOf,
+	peers,
+});
+const peer = (from: string, version: number): SpreadPeer => ({
+	from,
+	version,
+	digest: `d${version}`,
+	confirmedAgo: 100,
+});
+
+function createSpread(self: string, seed = 1) {
+	return createVersionSpread({
+		self,
+		failureDomain: domainOf(self)!,
+		random: createSeededRandom(seed),
+		startedAt: 0,
+	});
+}
+
+const isWatcher = (self: string) =>
+	createSpread(self)
+		.decide(input(), 0)
+		.some(({kind}) => kind === 'watch');
+const watcher = members.find(self => isWatcher(self))!;
+const follower = members.find(self => !isWatcher(self))!;
+const poll: SpreadRequest = {kind: 'poll'};
+
+test('two instances per failure domain watch (guards against reads linear in the fleet)', () => {
+	const domains = members.filter(self => isWatcher(self)).map(self => domainOf(self));
+	for (const domain of ['north', 'south', 'west']) {
+		expect(domains.filter(other => other === domain)).toHaveLength(2);
+	}
+});
+
+test('an instance that is no longer a watcher stops its watch', () => {
+	const spread = createSpread(watcher);
+	spread.decide(input(), 0);
+	const added = Array.from({length: 60}, (_, index) => `10.0.1.${index}:7400#${index}`);
+	const decisions = spread.decide({...input(), members: [...members, ...added]}, 500);
+	expect(decisions).toEqual([{kind: 'stop-watch'}]);
+});
+
+test('only a higher version is adopted (guards against a configuration that reverts)', () => {
+	const spread = createSpread(watcher);
+	const watch: SpreadRequest = {kind: 'watch', after: 0};
+	const offer = (version: number, now: number) =>
+		spread.complete(watch, {kind: 'document', version, digest: `d${version}`}, now);
+	expect([offer(5, 0), offer(4, 1000), offer(5, 2000), offer(6, 3000)]).toEqual([
+		true,
+		false,
+		false,
+		true,
+	]);
+	expect(spread.report(3500)).toEqual({version: 6, digest: 'd6', confirmedAgo: 500});
+});
+
+test('a stale service confirms nothing and is asked with back-off', () => {
+	const spread = createSpread(watcher);
+	const watch: SpreadRequest = {kind: 'watch', after: 0};
+	spread.complete(poll, {kind: 'document', version: 5, digest: 'd5'}, 0);
+	spread.decide(input(), 0);
+	spread.complete(watch, {kind: 'document', version: 4, digest: 'd4'}, 1000);
+	expect(spread.report(1000).confirmedAgo).toBe(1000);
+	expect(spread.decide(input(), 1100)).toEqual([]);
+	expect(spread.decide(input(), 1500)).toEqual([{kind: 'watch', after: 5}]);
+});
+
+test('a document is pulled once, from a peer with the highest version', () => {
+	const spread = createSpread(follower);
+	spread.decide(input(), 0);
+	spread.complete(poll, {kind: 'document', version: 5, digest: 'd5'}, 0);
+	const peers = [peer('a', 6), peer('b', 7), peer('c', 7), peer('d', 5)];
+	const [decision, ...others] = spread.decide(input(peers), 500);
+	expect(others).toEqual([]);
+	expect(decision).toMatchObject({kind: 'pull', version: 7});
+	expect(spread.decide(input(peers), 1000)).toEqual([]);
+	spread.complete(decision as SpreadRequest, {kind: 'failed'}, 1000);
+	const [retry] = spread.decide(input(peers), 1000);
+	expect(retry).toMatchObject({kind: 'pull', version: 7});
+	expect(retry).not.toEqual(decision);
+	const document = {kind: 'document', version: 7, digest: 'd7'} as const;
+	expect(spread.complete(retry as SpreadRequest, document, 1100)).toBe(true);
+	expect(spread.decide(input(peers), 1200)).toEqual([]);
+	expect(spread.report(1200).confirmedAgo).toBe(100);
+});
+
+test('an instance is ready only with the highest version of service and peers', () => {
+	const spread = createSpread(follower);
+	expect(spread.decide(input(), 0)).toEqual([poll]);
+	spread.complete(poll, {kind: 'document', version: 5, digest: 'd5'}, 100);
+	spread.decide(input([peer('a', 5)]), 1000);
+	expect(spread.isReady()).toBe(false);
+	const [pull] = spread.decide(input([peer('a', 6)]), 2500);
+	expect(spread.isReady()).toBe(false);
+	spread.complete(pull as SpreadRequest, {kind: 'document', version: 6, digest: 'd6'}, 2600);
+	spread.decide(input([peer('a', 6)]), 2700);
+	expect(spread.isReady()).toBe(true);
+});
+
+test('without a version, polls are retried with growing back-off and jitter', () => {
+	const times: number[] = [];
+	const spread = createSpread(follower);
+	for (let now = 0; now < 20_000; now += 50) {
+		if (spread.decide(input(), now).length > 0) {
+			times.push(now);
+			spread.complete(poll, {kind: 'failed'}, now);
+		}
+	}
+
+	const gaps = times.slice(1).map((time, index) => time - times[index]!);
+	for (const [index, gap] of gaps.entries()) {
+		const longest = 500 * 2 ** index;
+		expect(gap).toBeGreaterThanOrEqual(longest / 2);
+		expect(gap).toBeLessThanOrEqual(longest + 50);
+	}
+
+	expect(gaps.length).toBeGreaterThanOrEqual(5);
+});
+
+test('the fallback poll comes once a minute with jitter (guards against polls in step)', () => {
+	const next = Array.from({length: 10}, (_, seed) => {
+		const spread = createSpread(follower, seed);
+		spread.decide(input(), 0);
+		spread.complete(poll, {kind: 'document', version: 1, digest: 'd1'}, 0);
+		let now = 0;
+		while (spread.decide(input(), now).length === 0) {
+			now += 500;
+		}
+
+		return now;
+	});
+	expect(Math.min(...next)).toBeGreaterThanOrEqual(45_000);
+	expect(Math.max(...next)).toBeLessThanOrEqual(75_500);
+	expect(new Set(next).size).toBeGreaterThan(5);
+});
--- /dev/null
+++ b/packages/policy-membership/src/version-spread.ts
@@ -0,0 +1,257 @@
+/**
+ * Decides how a new version of the configuration reaches this instance: who watches the
+ * configuration service, from which peer to pull a document, and when to poll as a fallback. The
+ * caller performs the decisions and reports how each ended.
+ */
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {type Random} from '@shallotpond/kernel/random';
+import {type ConfigurationReport} from './heartbeat.js';
+import {createView} from './rendezvous.js';
+import {lenderLeaseDuration} from './timing.js';
+
+export type SpreadDecision =
+	/** Start a long poll for a version above `after`. */
+	| {readonly kind: 'watch'; readonly after: number}
+	/** Cancel the long poll that is pending; no result is expected for it. */
+	| {readonly kind: 'stop-watch'}
+	/** Fetch the whole document from a peer. */
+	| {readonly kind: 'pull'; readonly from: InstanceId; readonly version: number}
+	/** Read the current document from the configuration service. */
+	| {readonly kind: 'poll'};
+
+/** `unchanged` means that the configuration service answered and has no higher version. */
+export type SpreadOutcome =
+	| {readonly kind: 'document'; readonly version: number; readonly digest: string}
+	| {readonly kind: 'unchanged'}
+	| {readonly kind: 'failed'};
+
+export type SpreadRequest = Exclude<SpreadDecision, {readonly kind: 'stop-watch'}>;
+
+/** What a two-way peer reports; see `Membership.configurations`. */
+export type SpreadPeer = ConfigurationReport & {readonly from: InstanceId};
+
+export type SpreadInput = {
+	/** Members of the own view, this instance included. */
+	readonly members: readonly InstanceId[];
+	readonly failureDomainOf: (instance: InstanceId) => string | undefined;
+	readonly peers: readonly SpreadPeer[];
+};
+
+export type VersionSpread = {
+	/**
+	 * What to start now; called with every tick and after every `complete`. At most one watch, one
+	 * pull and one poll are pending at a time. Linear in the members.
+	 */
+	decide(input: SpreadInput, now: number): SpreadDecision[];
+	/**
+	 * Reports how a request ended. A document must have been validated before; one that is invalid
+	 * is reported as `failed`. Returns whether it must be adopted, which is then taken as done.
+	 */
+	complete(request: SpreadRequest, outcome: SpreadOutcome, now: number): boolean;
+	/** For the heartbeats. */
+	report(now: number): ConfigurationReport;
+	/**
+	 * Whether the configuration service and the peers have been asked and the highest version that
+	 * any of them reported has been adopted. Stays true.
+	 */
+	isReady(): boolean;
+};
+
+export type VersionSpreadOptions = {
+	readonly self: InstanceId;
+	/** From the settings, because the platform's list may not show this instance yet. */
+	readonly failureDomain: string;
+	readonly random: Random;
+	/** Monotonic milliseconds. */
+	readonly startedAt: number;
+};
+
+type Backoff = {
+	failures: number;
+	notBefore: number;
+};
+
+const watchersPerDomain = 2;
+const pollInterval = 60_000;
+/** Part of the interval by which polls spread in both directions. */
+const pollJitter = 0.25;
+/** Between two starts, in case the service answers long polls at once. */
+const watchSpacing = 500;
+const firstBackoff = 500;
+const longestBackoff = 30_000;
+
+export function createVersionSpread(options: VersionSpreadOptions): VersionSpread {
+	const {self, failureDomain, random, startedAt} = options;
+	/** By then every reachable peer has sent several heartbeats. */
+	const peersHeardFrom = startedAt + lenderLeaseDuration;
+	let version = 0;
+	let digest = '';
+	let confirmedAt = Number.NEGATIVE_INFINITY;
+	let isReady = false;
+	let hasPolled = false;
+	let nextPollAt = startedAt;
+	const pending = new Set<SpreadRequest['kind']>();
+	let nextWatchAt = startedAt;
+	const watchBackoff: Backoff = {failures: 0, notBefore: startedAt};
+	const pollBackoff: Backoff = {failures: 0, notBefore: startedAt};
+	const pullBackoffs = new Map<InstanceId, Backoff>();
+
+	/** Half of the delay is random, so that instances that failed together retry apart. */
+	function backOff(backoff: Backoff, now: number): void {
+		const delay = Math.min(firstBackoff * 2 ** backoff.failures, longestBackoff);
+		backoff.failures++;
+		backoff.notBefore = now + (delay * (1 + random())) / 2;
+	}
+
+	function resetBackoff(backoff: Backoff): void {
+		backoff.failures = 0;
+		backoff.notBefore = Number.NEGATIVE_INFINITY;
+	}
+
+	function schedulePoll(now: number): void {
+		nextPollAt = now + pollInterval * (1 + pollJitter * (2 * random() - 1));
+	}
+
+	function isWatcher({members, failureDomainOf}: SpreadInput): boolean {
+		const candidates = members.filter(
+			member => member !== self && failureDomainOf(member) === failureDomain,
+		);
+		const ranking = createView([...candidates, self]).ranking(`watch:${failureDomain}`);
+		return ranking.indexOf(self) < watchersPerDomain;
+	}
+
+	function decideWatch(input: SpreadInput, now: number): SpreadDecision | undefined {
+		const shouldWatch = isWatcher(input);
+		if (pending.has('watch')) {
+			if (shouldWatch) {
+				return undefined;
+			}
+
+			pending.delete('watch');
+			return {kind: 'stop-watch'};
+		}
+
+		if (!shouldWatch || now < Math.max(watchBackoff.notBefore, nextWatchAt)) {
+			return undefined;
+		}
+
+		nextWatchAt = now + watchSpacing;
+		return {kind: 'watch', after: version};
+	}
+
+	/** Any of the peers with the highest version, so that they share the load. */
+	function decidePull({peers}: SpreadInput, now: number): SpreadDecision | undefined {
+		if (pending.has('pull')) {
+			return undefined;
+		}
+
+		const usable = peers.filter(
+			peer =>
+				peer.version > version && now >= (pullBackoffs.get(peer.from)?.notBefore ?? startedAt),
+		);
+		const highest = Math.max(...usable.map(peer => peer.version));
+		const sources = usable.filter(peer => peer.version === highest);
+		const source = sources[Math.floor(random() * sources.length)];
+		return source && {kind: 'pull', from: source.from, version: source.version};
+	}
+
+	function decidePoll(now: number): SpreadDecision | undefined {
+		const isDue = now >= nextPollAt && now >= pollBackoff.notBefore;
+		return isDue && !pending.has('poll') ? {kind: 'poll'} : undefined;
+	}
+
+	function takeConfirmations(peers: readonly SpreadPeer[], now: number): void {
+		for (const peer of peers) {
+			if (peer.version === version && peer.digest === digest) {
+				confirmedAt = Math.max(confirmedAt, now - peer.confirmedAgo);
+			}
+		}
+	}
+
+	function updateReady(peers: readonly SpreadPeer[], now: number): void {
+		const isBehind = peers.some(peer => peer.version > version);
+		isReady ||= version > 0 && hasPolled && now >= peersHeardFrom && !isBehind;
+	}
+
+	function forgetGonePeers(peers: readonly SpreadPeer[]): void {
+		for (const peer of pullBackoffs.keys()) {
+			if (!peers.some(({from}) => from === peer)) {
+				pullBackoffs.delete(peer);
+			}
+		}
+	}
+
+	function backoffOf(request: SpreadRequest): Backoff {
+		if (request.kind !== 'pull') {
+			return request.kind === 'watch' ? watchBackoff : pollBackoff;
+		}
+
+		const backoff = pullBackoffs.get(request.from) ?? {failures: 0, notBefore: startedAt};
+		pullBackoffs.set(request.from, backoff);
+		return backoff;
+	}
+
+	function takeServiceAnswer(outcome: SpreadOutcome, now: number): void {
+		const serves = outcome.kind === 'document' ? outcome.version : version;
+		// A stale service that serves a lower version confirms nothing.
+		if (serves >= version) {
+			confirmedAt = now;
+		}
+
+		schedulePoll(now);
+	}
+
+	/** The fallback is rare enough once a version is in force, so only the start retries early. */
+	function takePollFailure(now: number): void {
+		if (version > 0) {
+			schedulePoll(now);
+		}
+	}
+
+	return {
+		decide(input, now) {
+			takeConfirmations(input.peers, now);
+			updateReady(input.peers, now);
+			forgetGonePeers(input.peers);
+			const decisions = [decideWatch(input, now), decidePull(input, now), decidePoll(now)].filter(
+				decision => decision !== undefined,
+			);
+			for (const {kind} of decisions) {
+				if (kind !== 'stop-watch') {
+					pending.add(kind);
+				}
+			}
+
+			return decisions;
+		},
+		complete(request, outcome, now) {
+			pending.delete(request.kind);
+			hasPolled ||= request.kind === 'poll';
+			const isHigher = outcome.kind === 'document' && outcome.version > version;
+			if (isHigher) {
+				version = outcome.version;
+				digest = outcome.digest;
+				confirmedAt = Number.NEGATIVE_INFINITY;
+			}
+
+			const isAnswered = outcome.kind !== 'failed';
+			if (isAnswered && request.kind !== 'pull') {
+				takeServiceAnswer(outcome, now);
+			} else if (request.kind === 'poll') {
+				takePollFailure(now);
+			}
+
+			// A stale answer to a watch or a pull comes at once, so repeating it must wait too.
+			const isUseless = outcome.kind === 'document' && !isHigher && request.kind !== 'poll';
+			if (isAnswered && !isUseless) {
+				resetBackoff(backoffOf(request));
+			} else {
+				backOff(backoffOf(request), now);
+			}
+
+			return isHigher;
+		},
+		report: now => ({version, digest, confirmedAgo: now - confirmedAt}),
+		isReady: () => isReady,
+	};
+}
--- /dev/null
+++ b/packages/testkit/src/__tests__/fake-network.test.ts
@@ -0,0 +1,66 @@
+import {expect, test} from '@jest/globals';
+import {createSeededRandom} from '@shallotpond/kernel/random';
+import {createFakeNetwork, type NetworkConditions} from '../fake-network.js';
+import {createSteerableClock} from '../steerable-clock.js';
+
+function createPair(conditions: Partial<NetworkConditions> = {}) {
+	const network = createFakeNetwork<number>({random: createSeededRandom(1), conditions});
+	const received: number[] = [];
+	const clock = createSteerableClock({speed: 1.01});
+	network.attach('b', {clock, deliver: message => void received.push(message)});
+	const sendAll = (count: number) => {
+		for (let message = 0; message < count; message++) {
+			network.send('a', 'b', message);
+		}
+	};
+
+	return {network, received, clock, sendAll};
+}
+
+test('a calm network delivers everything once, at the speed of the receiver’s clock', () => {
+	const {network, received, clock, sendAll} = createPair();
+	sendAll(20);
+	network.advance(10, 1);
+	expect([...received].sort((a, b) => a - b)).toEqual(Array.from({length: 20}, (_, i) => i));
+	expect(clock.monotonic()).toBeCloseTo(10.1);
+});
+
+test('faults lose, repeat and reorder messages (guards against tests that test nothing)', () => {
+	const {network, received, sendAll} = createPair({loss: 0.3, duplication: 0.3, maximumDelay: 50});
+	sendAll(200);
+	network.advance(60, 1);
+	const distinct = new Set(received);
+	expect(distinct.size).toBeLessThan(190);
+	expect(received.length).toBeGreaterThan(distinct.size);
+	expect(received).not.toEqual([...received].sort((a, b) => a - b));
+});
+
+test('cuts are one-way, and silence covers both directions until healed', () => {
+	const {network, received} = createPair();
+	network.cut('b', 'a');
+	network.send('a', 'b', 1);
+	network.advance(5, 1);
+	network.silence('a');
+	network.send('a', 'b', 2);
+	network.advance(5, 1);
+	network.healAll();
+	network.send('a', 'b', 3);
+	network.advance(5, 1);
+	expect(received).toEqual([1, 3]);
+});
+
+test('messages wait for a paused process and are lost with a replaced one', () => {
+	const {network, received, clock} = createPair();
+	network.pause('b');
+	network.send('a', 'b', 1);
+	network.advance(100, 1);
+	expect(received).toEqual([]);
+	network.resume('b');
+	expect(received).toEqual([1]);
+	network.pause('b');
+	network.send('a', 'b', 2);
+	network.advance(100, 1);
+	network.attach('b', {clock, deliver: message => void received.push(message)});
+	network.resume('b');
+	expect(received).toEqual([1]);
+});
