Divide a cold target's slots among coordinators in renewals too

A coordinator with a minority of a shard renewed under its part of the warm slots while the one with the majority granted under its part of the cold slots, so a cold target ran two requests with one cold slot. Grants now say how warm the target was, and renewals are capped by that. Failures in a trial count as a path fault as well when other holders succeed.

--- /dev/null
+++ b/packages/policy-dispatch/src/__tests__/simulated-fleet.ts
@@ -0,0 +1,305 @@
+/**
+ * Instances, a network, a share ledger and targets in simulated time. Requests are counted where
+ * they run: at the targets.
+ */
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
+import {grantTerm, type DispatchService, type TargetAvailability} from '../dispatch-service.js';
+import {createLocalBalancer} from '../local-balancer.js';
+import {createSlotCoordinator, type SlotCoordinator} from '../slot-coordinator.js';
+import {createSlotHolder, type HeldGrant, type HolderStep} from '../slot-holder.js';
+import {type CoordinatorMessage, type SlotMessage, type SlotResult} from '../slot-messages.js';
+import {type HealthChange} from '../target-health.js';
+
+export type Work = {
+	readonly latency: number;
+	readonly result: SlotResult;
+	readonly generation?: string;
+};
+export type FleetOptions = {
+	readonly seed: number;
+	readonly instances: number;
+	readonly service: DispatchService;
+	readonly policy?: 'coordinated' | 'local';
+	readonly loss?: number;
+	readonly duplication?: number;
+	/** Part of the messages that arrive up to 6 s late, and so out of order. */
+	readonly late?: number;
+	/** Milliseconds after a share moves for which it counts as not vested. */
+	readonly vesting?: number;
+	readonly work: (target: string, holder: string, now: number, random: Random) => Work;
+	readonly onFinish?: (workspace: string, result: SlotResult | 'refused', now: number) => void;
+};
+
+// Looking up a global is slow in the module contexts of jest.
+const {cos, exp, log, PI, sqrt} = Math;
+
+type Run = {readonly holder: string; readonly grant: HeldGrant; readonly endsAt: number};
+const serviceName = 'roster';
+const step = 5;
+
+export function createFleet(options: FleetOptions) {
+	const {instances: count, service, loss = 0, duplication = 0, late = 0} = options;
+	const random = createSeededRandom(options.seed);
+	const agenda = new Map<number, Array<() => void>>();
+	const running = new Map(service.targets.map(({id}) => [id, new Map<string, Run>()]));
+	const peak = new Map(service.targets.map(({id}) => [id, 0]));
+	const unavailable = new Map<string, TargetAvailability>();
+	const changes: Array<HealthChange & {readonly at: number}> = [];
+	const services = new Map([[serviceName, service]]);
+	/** Owner of each share of each shard, and since when. */
+	const ledger = new Map<string, Array<{owner: number | undefined; since: number}>>();
+	let now = 0;
+	let dispatched = 0;
+
+	const shares = (resource: string) => {
+		let list = ledger.get(resource);
+		if (!list) {
+			const owner = [...resource].reduce((sum, char) => sum + char.charCodeAt(0), 0) % count; // eslint-disable-line unicorn/prefer-code-point
+			list = Array.from({length: count}, () => ({owner, since: -1e9}));
+			ledger.set(resource, list);
+		}
+
+		return list;
+	};
+
+	const at = (delay: number, action: () => void) => {
+		const due = Math.max(now + step, Math.ceil((now + delay) / step) * step);
+		const list = agenda.get(due);
+		if (list) {
+			list.push(action);
+		} else {
+			agenda.set(due, [action]);
+		}
+	};
+
+	const availability = (_service: string, {id}: {readonly id: string}) =>
+		unavailable.get(id) ?? 'available';
+
+	const instances = Array.from({length: count}, (_, index) => {
+		const self = `i${index}`;
+		// Clocks have different origins, and speeds that differ by up to 0.5%.
+		const origin = random() * 1e6;
+		const speed = 1 + (random() - 0.5) / 100;
+		const clock = () => origin + now * speed;
+		const fraction = (resource: string) => {
+			const own = shares(resource).filter(share => share.owner === index);
+			const vested = own.filter(
+				share => now - share.since >= (options.vesting ?? grantTerm * 1.01),
+			);
+			return {
+				current: own.length / count,
+				vested: vested.length / count,
+				majoritySince: undefined,
+			};
+		};
+
+		const ownerOf = (resource: string) => {
+			const {owner} = shares(resource)[index]!;
+			return owner === undefined ? undefined : `i${owner}`;
+		};
+
+		const base = {self, availability, random};
+		const coordinator: SlotCoordinator = createSlotCoordinator({
+			...base,
+			fraction,
+			onHealthChange: (_, change) => changes.push({...change, at: now}),
+		});
+		const holder =
+			options.policy === 'local' ? createLocalBalancer(base) : createSlotHolder({...base, ownerOf});
+		coordinator.configure(services, clock());
+		holder.configure(services);
+		return {self, index, clock, coordinator, holder, ownerOf, pausedUntil: 0, isStopped: false};
+	});
+	type Instance = (typeof instances)[number];
+
+	/** Runs when the instance is awake. */
+	const whenAwake = (instance: Instance, action: () => void) => {
+		if (instance.pausedUntil > now) {
+			at(instance.pausedUntil - now + random() * 20, () => {
+				whenAwake(instance, action);
+			});
+		} else {
+			action();
+		}
+	};
+
+	const isForCoordinator = (message: SlotMessage): message is CoordinatorMessage =>
+		['slot-ask', 'slot-release', 'slot-cancel', 'slot-renew', 'slot-handover'].includes(
+			message.kind,
+		);
+
+	const send = (from: Instance, outbound: ReadonlyArray<Outbound<SlotMessage>>) => {
+		for (const {to, message} of outbound) {
+			const receiver = instances[Number(to.slice(1))]!;
+			const deliver = () => {
+				if (isForCoordinator(message)) {
+					send(receiver, receiver.coordinator.handle(message, from.self, receiver.clock()));
+				} else {
+					apply(receiver, receiver.holder.handle(message, from.self, receiver.clock()));
+				}
+			};
+
+			const copies = message.kind === 'slot-handover' || random() >= loss ? 1 : 0;
+			for (let copy = 0; copy < copies + (random() < duplication ? 1 : 0); copy++) {
+				at(random() < late ? random() * 6000 : 1 + random() * 3, () => {
+					whenAwake(receiver, deliver);
+				});
+			}
+		}
+	};
+
+	const end = (instance: Instance, grant: HeldGrant, latency: number, work: Work) => {
+		running.get(grant.target)!.delete(grant.grant);
+		const outcome = {...work, latency, slotTime: latency};
+		apply(instance, instance.holder.release(grant, outcome, instance.clock()));
+		options.onFinish?.(grant.workspace, work.result, now);
+	};
+
+	const start = (instance: Instance, grant: HeldGrant) => {
+		if (!instance.holder.mayDispatch(grant, () => true, instance.clock())) {
+			apply(instance, instance.holder.release(grant, undefined, instance.clock()));
+			return;
+		}
+
+		const runs = running.get(grant.target)!;
+		const work = options.work(grant.target, instance.self, now, random);
+		const startedAt = now;
+		// The target keeps the deadline that it is told, the end of the grant, so a request that ends
+		// within it needs no cancellation by a process that may be paused.
+		runs.set(grant.grant, {holder: instance.self, grant, endsAt: now + work.latency});
+		dispatched++;
+		peak.set(grant.target, Math.max(peak.get(grant.target)!, runs.size));
+		at(work.latency, () => {
+			const isRunning = runs.delete(grant.grant);
+			whenAwake(instance, () => {
+				if (isRunning) {
+					end(instance, grant, now - startedAt, work);
+				}
+			});
+		});
+	};
+
+	const apply = (instance: Instance, {outbound, events}: HolderStep) => {
+		send(instance, outbound);
+		for (const event of events) {
+			if (event.kind === 'granted') {
+				start(instance, event.grant);
+			} else if (event.kind === 'expired') {
+				end(instance, event.grant, 0, {latency: 0, result: 'cancelled'});
+			} else {
+				options.onFinish?.(event.request, 'refused', now);
+			}
+		}
+	};
+
+	const tick = (instance: Instance) => {
+		if (instance.pausedUntil <= now) {
+			send(instance, instance.coordinator.tick(instance.clock()));
+			apply(instance, instance.holder.tick(instance.clock()));
+		}
+
+		at(100, () => {
+			tick(instance);
+		});
+	};
+
+	for (const instance of instances) {
+		at(random() * 100, () => {
+			tick(instance);
+		});
+	}
+
+	return {
+		random,
+		instances,
+		changes,
+		peak,
+		unavailable,
+		shares,
+		at,
+		get now() {
+			return now;
+		},
+		get dispatched() {
+			return dispatched;
+		},
+		running: (target: string) => running.get(target)!.size,
+		ask(index: number, workspace: string, patience = 2000) {
+			const instance = instances[index]!;
+			whenAwake(instance, () => {
+				const time = instance.clock();
+				const deadline = time + patience;
+				const asked = instance.holder.ask({service: serviceName, workspace, deadline}, time);
+				apply(instance, asked.step);
+			});
+		},
+		/** Poisson arrivals of a workspace at random instances, until a time. */
+		load(workspace: string, perSecond: number, until: number) {
+			const next = () => {
+				if (now < until) {
+					this.ask(Math.floor(random() * count), workspace);
+					at((-Math.log(1 - random()) * 1000) / perSecond, next);
+				}
+			};
+
+			at(0, next);
+		},
+		run(milliseconds: number, check?: () => void) {
+			for (const limit = now + milliseconds; now < limit;) {
+				now += step;
+				const due = agenda.get(now) ?? [];
+				agenda.delete(now);
+				for (const action of due) {
+					action();
+				}
+
+				check?.();
+			}
+		},
+		/** Planned stop: vested shares move with the handover. */
+		stop(index: number, successor: number) {
+			const instance = instances[index]!;
+			const outbound = instance.coordinator.export(() => `i${successor}`, instance.clock());
+			for (const {to, message} of outbound) {
+				if (message.kind === 'slot-handover') {
+					const receiver = instances[Number(to.slice(1))]!;
+					receiver.coordinator.handle(message, instance.self, receiver.clock());
+				} else {
+					send(instance, [{to, message}]);
+				}
+			}
+
+			for (const list of ledger.values()) {
+				for (const share of list) {
+					if (share.owner === index) {
+						share.owner = successor;
+					}
+				}
+			}
+		},
+	};
+}
+
+export function testService(targets: number, changes: Partial<DispatchService> = {}) {
+	return {
+		targets: Array.from({length: targets}, (_, index) => ({
+			id: `t${index}`,
+			failureDomain: `d${index % 4}`,
+		})),
+		slots: 4,
+		connections: 330,
+		coldSlots: 1,
+		warmUpAnswers: 3,
+		warmUpStep: 100,
+		floor: 0.7,
+		shardSize: 4,
+		...changes,
+	};
+}
+
+/** Log-normal with the given median and the spread of ordinary back ends. */
+export function logNormal(median: number, random: Random, deviation = 0.5): number {
+	const normal = sqrt(-2 * log(1 - random())) * cos(2 * PI * random());
+	return median * exp(deviation * normal);
+}
--- /dev/null
+++ b/packages/policy-dispatch/src/__tests__/slot-safety.test.ts
@@ -0,0 +1,93 @@
+import {describe, expect, test} from '@jest/globals';
+import fc from 'fast-check';
+import {createFleet, logNormal, testService} from './simulated-fleet.js';
+
+const faults = fc.record({
+	seed: fc.integer({min: 1, max: 1e9}),
+	loss: fc.constantFrom(0, 0.02, 0.2),
+	duplication: fc.constantFrom(0, 0.2),
+	late: fc.constantFrom(0, 0.02, 0.2),
+	slots: fc.integer({min: 1, max: 4}),
+	isCold: fc.boolean(),
+	moveEvery: fc.constantFrom(1000, 4000, 15_000),
+	pauseEvery: fc.constantFrom(0, 4000, 15_000),
+});
+
+type Faults = typeof faults extends fc.Arbitrary<infer Value> ? Value : never;
+
+/** Every instance asks more than the targets bear, for `seconds`, under the given faults. */
+function runUnderFaults(
+	{seed, loss, duplication, late, slots, isCold, moveEvery, pauseEvery}: Faults,
+	seconds: number,
+) {
+	const count = 5;
+	const fleet = createFleet({
+		seed,
+		instances: count,
+		loss,
+		duplication,
+		late,
+		service: testService(4, {
+			slots,
+			shardSize: 2,
+			...(isCold ? {warmUpAnswers: 1e9} : {warmUpAnswers: 1, warmUpStep: 0}),
+		}),
+		// Instance 0 never pauses and runs the requests that outlast a term.
+		work: (_target, holder, _now, random) => ({
+			latency: holder === 'i0' && random() < 0.1 ? 9000 : logNormal(150, random, 1) % 3000,
+			result: 'ok',
+		}),
+	});
+	const {random, shares} = fleet;
+	const again = (interval: number, action: () => void) => {
+		fleet.at(interval * (0.5 + random()), () => {
+			action();
+			again(interval, action);
+		});
+	};
+
+	again(moveEvery, () => {
+		const from = Math.floor(random() * count);
+		const part = random();
+		const owner = random() < 0.1 ? undefined : Math.floor(random() * count);
+		for (const shard of [0, 1]) {
+			for (const share of shares(`shard:roster/${shard}`)) {
+				if ((share.owner ?? from) === from && random() < part) {
+					share.owner = owner;
+					share.since = fleet.now;
+				}
+			}
+		}
+	});
+	if (pauseEvery > 0) {
+		again(pauseEvery, () => {
+			fleet.instances[1 + Math.floor(random() * (count - 1))]!.pausedUntil =
+				fleet.now + random() * 12_000;
+		});
+	}
+
+	fleet.load('beach', 60, seconds * 1000);
+	const limit = isCold ? 1 : slots;
+	fleet.run(seconds * 1000, () => {
+		for (const target of fleet.peak.keys()) {
+			if (fleet.running(target) > limit) {
+				throw new Error(`${target} runs ${fleet.running(target)} of ${limit} at ${fleet.now}`);
+			}
+		}
+	});
+	return fleet;
+}
+
+describe('slots', () => {
+	test('no target runs more than its slots, or a cold one would be overrun, under any faults', () => {
+		let dispatched = 0;
+		fc.assert(
+			fc.property(faults, options => {
+				dispatched += runUnderFaults(options, 40).dispatched;
+			}),
+			{seed: 20_261_204, numRuns: 40, endOnFailure: true},
+		);
+		// A fleet that grants nothing would keep every limit.
+		expect(dispatched).toBeGreaterThan(5000);
+	});
+});
--- /dev/null
+++ b/packages/policy-dispatch/src/local-balancer.ts
@@ -0,0 +1,164 @@
+/**
+ * The baseline without coordination: each instance picks the target with the fewest requests in
+ * flight that it knows of itself, keeps the slots only locally, and ejects a target after five
+ * errors in a row. It has the interface of the slot holder, so that both run in one comparison.
+ */
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {type Random} from '@shallotpond/kernel/random';
+import {type AvailabilityLookup, type DispatchTarget} from './dispatch-service.js';
+import {
+	type HeldGrant,
+	type HolderEvent,
+	type HolderStep,
+	type SlotHolder,
+	type SlotRequestOptions,
+} from './slot-holder.js';
+import {type SlotOutcome} from './slot-messages.js';
+
+export type LocalBalancerOptions = {
+	readonly self: InstanceId;
+	readonly availability: AvailabilityLookup;
+	readonly random: Random;
+};
+
+const errorsToEject = 5;
+const shortestEjection = 5000;
+const longestEjection = 300_000;
+
+type LocalTarget = {
+	readonly service: string;
+	readonly definition: DispatchTarget;
+	readonly slots: number;
+	inFlight: number;
+	errorsInRow: number;
+	ejectFor: number;
+	ejectedUntil: number;
+};
+
+type Waiting = {readonly request: string; readonly options: SlotRequestOptions};
+
+export function createLocalBalancer(options: LocalBalancerOptions): SlotHolder {
+	const {self, availability, random} = options;
+	const services = new Map<string, Map<string, LocalTarget>>();
+	const held = new Map<string, LocalTarget>();
+	const waiting = new Map<string, Waiting>();
+	let nextId = 0;
+
+	function pick({options: {service, excludedTargets}}: Waiting, now: number) {
+		let best: LocalTarget | undefined;
+		let bestLoad = Number.POSITIVE_INFINITY;
+		for (const target of services.get(service)?.values() ?? []) {
+			const load = target.inFlight + random() / 2;
+			if (
+				load < bestLoad &&
+				target.inFlight < target.slots &&
+				now >= target.ejectedUntil &&
+				!excludedTargets?.includes(target.definition.id) &&
+				availability(service, target.definition) === 'available'
+			) {
+				best = target;
+				bestLoad = load;
+			}
+		}
+
+		return best;
+	}
+
+	function grantTo({request, options: {workspace, service}}: Waiting, target: LocalTarget) {
+		const {definition, slots} = target;
+		const grant: HeldGrant = {
+			grant: `${self}/${nextId++}`,
+			service,
+			target: definition.id,
+			workspace,
+			warmSlots: slots,
+			definition,
+			keepConnection: true,
+			expiresAt: Number.POSITIVE_INFINITY,
+		};
+		target.inFlight++;
+		held.set(grant.grant, target);
+		waiting.delete(request);
+		return {kind: 'granted' as const, request, grant};
+	}
+
+	/** Linear in the waiting requests and the targets; good enough for a baseline. */
+	function advance(now: number): HolderStep {
+		const events: HolderEvent[] = [];
+		for (const entry of waiting.values()) {
+			const target = pick(entry, now);
+			if (target) {
+				events.push(grantTo(entry, target));
+			} else if (entry.options.deadline <= now) {
+				waiting.delete(entry.request);
+				const {request} = entry;
+				events.push({
+					kind: 'refused',
+					request,
+					reason: 'deadline',
+					retryAfter: 500,
+					runState: 'not-run',
+				});
+			}
+		}
+
+		return {outbound: [], events};
+	}
+
+	function countOutcome(target: LocalTarget, {result}: SlotOutcome, now: number): void {
+		if (result === 'ok') {
+			target.errorsInRow = 0;
+		} else if (result !== 'cancelled' && result !== 'shed') {
+			target.errorsInRow++;
+		}
+
+		if (target.errorsInRow >= errorsToEject) {
+			target.errorsInRow = 0;
+			target.ejectedUntil = now + target.ejectFor;
+			target.ejectFor = Math.min(2 * target.ejectFor, longestEjection);
+		}
+	}
+
+	return {
+		configure(definitions) {
+			services.clear();
+			for (const [service, {targets, slots}] of definitions) {
+				const locals = targets.map(definition => ({
+					service,
+					definition,
+					slots,
+					inFlight: 0,
+					errorsInRow: 0,
+					ejectFor: shortestEjection,
+					ejectedUntil: 0,
+				}));
+				services.set(service, new Map(locals.map(target => [target.definition.id, target])));
+			}
+		},
+		ask(requestOptions, now) {
+			const request = `${self}/${nextId++}`;
+			waiting.set(request, {request, options: requestOptions});
+			return {request, step: advance(now)};
+		},
+		cancel(request) {
+			waiting.delete(request);
+			return {outbound: [], events: []};
+		},
+		handle: () => ({outbound: [], events: []}),
+		tick: advance,
+		mayDispatch: ({grant, service, definition}, isKeyValid) =>
+			held.has(grant) && availability(service, definition) === 'available' && isKeyValid(),
+		release({grant}, outcome, now) {
+			const target = held.get(grant);
+			if (target && held.delete(grant)) {
+				target.inFlight--;
+				if (outcome) {
+					countOutcome(target, outcome, now);
+				}
+			}
+
+			return advance(now);
+		},
+		holdings: () => new Map(),
+	};
+}
--- a/packages/policy-dispatch/src/sample-window.ts
+++ b/packages/policy-dispatch/src/sample-window.ts
@@ -15,19 +15,21 @@
 	readonly latencies: number;
 	readonly logMean: number;
 	readonly logDeviation: number;
-	readonly byHolder: ReadonlyMap<InstanceId, HolderCounts>;
+	/** Summed on demand, because it is needed only where there are failures. */
+	byHolder(): ReadonlyMap<InstanceId, HolderCounts>;
 };
 
 export type SampleWindow = {
 	addGood(holder: InstanceId, latency: number, now: number): void;
 	addBad(holder: InstanceId, isIncomplete: boolean, now: number): void;
-	/** Costs O(buckets × holders that reported in them). */
+	/** Costs O(buckets); its `byHolder` also the holders that reported in each. */
 	summarize(now: number): WindowSummary;
 	clear(): void;
 };
 
 type Bucket = {
 	readonly index: number;
+	bad: number;
 	incomplete: number;
 	latencies: number;
 	logSum: number;
@@ -52,7 +54,15 @@
 		const index = prune(now);
 		let bucket = kept.at(-1);
 		if (bucket === undefined || bucket.index < index) {
-			bucket = {index, incomplete: 0, latencies: 0, logSum: 0, logSquares: 0, byHolder: new Map()};
+			bucket = {
+				index,
+				bad: 0,
+				incomplete: 0,
+				latencies: 0,
+				logSum: 0,
+				logSquares: 0,
+				byHolder: new Map(),
+			};
 			kept.push(bucket);
 		}
 
@@ -69,6 +79,19 @@
 		return found;
 	}
 
+	function sumByHolder(buckets: readonly Bucket[]): Map<InstanceId, HolderCounts> {
+		const sums = new Map<InstanceId, HolderCounts>();
+		for (const bucket of buckets) {
+			for (const [holder, counts] of bucket.byHolder) {
+				const total = countsOf(sums, holder);
+				total.good += counts.good;
+				total.bad += counts.bad;
+			}
+		}
+
+		return sums;
+	}
+
 	return {
 		addGood(holder, latency, now) {
 			const bucket = currentBucket(now);
@@ -81,32 +104,36 @@
 		},
 		addBad(holder, isIncomplete, now) {
 			const bucket = currentBucket(now);
+			bucket.bad++;
 			bucket.incomplete += isIncomplete ? 1 : 0;
 			countsOf(bucket.byHolder, holder).bad++;
 		},
 		summarize(now) {
 			prune(now);
-			const byHolder = new Map<InstanceId, HolderCounts>();
-			const sums = {good: 0, bad: 0, incomplete: 0, latencies: 0, logSum: 0, logSquares: 0};
+			const sums = {bad: 0, incomplete: 0, latencies: 0, logSum: 0, logSquares: 0};
 			for (const bucket of kept) {
+				sums.bad += bucket.bad;
 				sums.incomplete += bucket.incomplete;
 				sums.latencies += bucket.latencies;
 				sums.logSum += bucket.logSum;
 				sums.logSquares += bucket.logSquares;
-				for (const [holder, counts] of bucket.byHolder) {
-					const total = countsOf(byHolder, holder);
-					total.good += counts.good;
-					total.bad += counts.bad;
-					sums.good += counts.good;
-					sums.bad += counts.bad;
-				}
 			}
 
-			const {good, bad, incomplete, latencies} = sums;
+			const {bad, incomplete, latencies} = sums;
 			const logMean = latencies === 0 ? 0 : sums.logSum / latencies;
 			const variance = latencies === 0 ? 0 : sums.logSquares / latencies - logMean * logMean;
 			const logDeviation = Math.sqrt(Math.max(variance, 0));
-			return {good, bad, incomplete, latencies, logMean, logDeviation, byHolder};
+			const buckets = kept;
+			// Every good answer has a latency.
+			return {
+				good: latencies,
+				bad,
+				incomplete,
+				latencies,
+				logMean,
+				logDeviation,
+				byHolder: () => sumByHolder(buckets),
+			};
 		},
 		clear() {
 			kept = [];
--- a/packages/policy-dispatch/src/slot-coordinator.ts
+++ b/packages/policy-dispatch/src/slot-coordinator.ts
@@ -524,7 +524,13 @@
 			return false;
 		}
 
-		const cap = slotAuthority(shard.settings.slots, fraction(shard.resource, now).current);
+		// A cold target's slots are divided among the coordinators as well, so a part of its warm slots
+		// must not be added to a part of its cold ones. The grant says how warm it was at issue.
+		const slots = Math.min(
+			Math.max(holding.warmSlots, target.warmUp.allowed),
+			shard.settings.slots,
+		);
+		const cap = slotAuthority(slots, fraction(shard.resource, now).current);
 		const isAdopted = !target.grants.has(holding.grant);
 		const isRenewed = target.renew(holding, holder, cap, now);
 		if (isRenewed && isAdopted && now - shard.createdAt <= 2 * grantTerm) {
--- a/packages/policy-dispatch/src/target-health.ts
+++ b/packages/policy-dispatch/src/target-health.ts
@@ -59,6 +59,11 @@
  * of 15 targets, of which none may be wrong by chance.
  */
 const confidence = 4;
+/**
+ * The same for failure rates. Six of ten failures are enough, which chance gives once in 400,000
+ * judgements at 5% errors.
+ */
+const errorConfidence = 3.3;
 /** Part of failures that a target must certainly exceed. */
 const errorLimit = 0.15;
 /** Ratio to the median latency of the peers that a target must certainly exceed. */
@@ -73,8 +78,8 @@
 const trialFailures = 2;
 /** Good answers of other holders that make the failures of one holder a path fault. */
 const pathWitnesses = 5;
-/** Failure rate of the other holders up to which the failures of one are a path fault. */
-const pathOthersLimit = 0.1;
+/** Part of one holder's failure rate up to which the others' rate makes it a path fault. */
+const pathOthersLimit = 0.25;
 
 type TargetRecord = {
 	readonly target: string;
@@ -93,7 +98,7 @@
 };
 
 type Judged = {readonly record: TargetRecord; readonly summary: WindowSummary};
-type Rates = {readonly good: number; readonly bad: number; readonly excused: boolean};
+type Rates = {readonly good: number; readonly bad: number};
 
 const verdicts: Readonly<Record<SlotResult, 'good' | 'bad' | 'incomplete' | 'ignored'>> = {
 	ok: 'good',
@@ -110,10 +115,11 @@
 /** Lower end of the Wilson interval of a proportion. */
 function lowerBound(bad: number, total: number): number {
 	const proportion = bad / total;
-	const squared = confidence * confidence;
+	const squared = errorConfidence * errorConfidence;
 	const center = proportion + squared / (2 * total);
 	const spread =
-		confidence * Math.sqrt((proportion * (1 - proportion)) / total + squared / (4 * total * total));
+		errorConfidence *
+		Math.sqrt((proportion * (1 - proportion)) / total + squared / (4 * total * total));
 	return (center - spread) / (1 + squared / total);
 }
 
@@ -125,18 +131,24 @@
 
 /** Counts without the holder whose failures the other holders do not see on the same target. */
 function withoutPathFault(summary: WindowSummary): Rates {
-	for (const counts of summary.byHolder.values()) {
-		const othersGood = summary.good - counts.good;
-		const othersBad = summary.bad - counts.bad;
-		const isFailing = counts.bad > counts.good * pathOthersLimit;
-		const othersSucceed =
-			othersGood >= pathWitnesses && othersBad <= pathOthersLimit * (othersGood + othersBad);
-		if (isFailing && othersSucceed) {
-			return {good: othersGood, bad: othersBad, excused: true};
-		}
+	let worst: Rates = {good: 0, bad: 0};
+	for (const counts of summary.bad === 0 ? [] : summary.byHolder().values()) {
+		worst = counts.bad > worst.bad ? counts : worst;
 	}
 
-	return {good: summary.good, bad: summary.bad, excused: false};
+	const others = {good: summary.good - worst.good, bad: summary.bad - worst.bad};
+	const worstRate = worst.bad / Math.max(worst.good + worst.bad, 1);
+	const othersRate = others.bad / Math.max(others.good + others.bad, 1);
+	const isPathFault = others.good >= pathWitnesses && othersRate <= worstRate * pathOthersLimit;
+	return isPathFault ? others : summary;
+}
+
+/** Few answers decide a trial: failures that several holders see, or that none contradicts. */
+function hasFailedTrial(summary: WindowSummary): boolean {
+	const counts = summary.bad === 0 ? [] : [...summary.byHolder().values()];
+	const failing = counts.filter(({bad}) => bad > 0).length;
+	const succeeding = counts.some(({good, bad}) => good > 0 && bad === 0);
+	return failing >= trialFailures || (summary.bad > trialFailures && !succeeding);
 }
 
 function judgeErrors({summary}: Judged, peers: readonly Judged[]): EjectionReason | undefined {
@@ -246,7 +258,7 @@
 	}
 
 	function judgeTrial(record: TargetRecord, now: number): void {
-		if (record.trialBad >= trialFailures) {
+		if (hasFailedTrial(record.long.summarize(now))) {
 			eject(record, 'errors', now);
 		} else if (record.trialGood >= trialAnswers) {
 			const logMean = record.trialLogSum / record.trialGood;
