Add shallotctl, the operators' tool

Cause: operators need to check documents and patches before they publish them, and to look at instances, without writing to the platform.

--- /dev/null
+++ b/packages/shallotctl/bin/shallotctl.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+await import('../dist/command-line.js');
--- /dev/null
+++ b/packages/shallotctl/src/admin-client.ts
@@ -0,0 +1,96 @@
+/**
+ * Talks to the admin listener of an instance: `GET /status` and `POST /drain`.
+ */
+import {callHttp, parseJsonAnswer, type HttpAnswer} from '@shallotpond/io-platform/http-call';
+import {PlatformError} from '@shallotpond/io-platform/platform-error';
+import {type CommandContext} from './command.js';
+import {ShallotctlError} from './shallotctl-error.js';
+import {type Row} from './text-table.js';
+
+/** Bytes; a status lists up to 44,000 workspaces. */
+const largestAnswer = 67_108_864;
+const unreachableCodes = new Set<string>(['unreachable', 'timeout']);
+
+export type InstanceStatus = {
+	readonly instance: string;
+	/** Version of the configuration in force; 0 before the first. */
+	readonly version: number;
+	readonly ready: boolean;
+	readonly members: readonly Row[];
+	readonly targets: readonly Row[];
+	readonly workspaces: readonly Row[];
+};
+
+async function call(
+	{settings, terminal}: CommandContext,
+	method: 'GET' | 'POST',
+	path: string,
+): Promise<HttpAnswer> {
+	const {admin, timeout} = settings;
+	const url = new URL(path, admin);
+	try {
+		return await callHttp({url, method, timeout, largestAnswer, clock: terminal.clock});
+	} catch (error) {
+		const isUnreachable = error instanceof PlatformError && unreachableCodes.has(error.code);
+		const reason = error instanceof Error ? error.message : String(error);
+		throw new ShallotctlError(
+			isUnreachable ? 'unreachable' : 'refused',
+			[`${admin}: ${isUnreachable ? 'is not reachable: ' : ''}${reason || 'connection failed'}`],
+			{cause: error},
+		);
+	}
+}
+
+function isRows(value: unknown): value is Row[] {
+	return (
+		Array.isArray(value) &&
+		value.every(row => typeof row === 'object' && row !== null && !Array.isArray(row))
+	);
+}
+
+function parseStatus(value: unknown): InstanceStatus | undefined {
+	if (typeof value !== 'object' || value === null) {
+		return undefined;
+	}
+
+	const {instance, version, ready, members, targets, workspaces} = value as Row;
+	const isValid =
+		typeof instance === 'string' &&
+		typeof version === 'number' &&
+		typeof ready === 'boolean' &&
+		[members, targets, workspaces].every(rows => isRows(rows));
+	return isValid ? (value as InstanceStatus) : undefined;
+}
+
+function parseJson(admin: string, answer: HttpAnswer): unknown {
+	try {
+		return parseJsonAnswer(answer);
+	} catch (error) {
+		throw new ShallotctlError('refused', [`${admin}: the answer is not JSON`], {cause: error});
+	}
+}
+
+/** Rejects with a `ShallotctlError`: `unreachable`, or `refused` when the answer is unusable. */
+export async function readStatus(context: CommandContext): Promise<InstanceStatus> {
+	const {admin} = context.settings;
+	const answer = await call(context, 'GET', '/status');
+	if (answer.status !== 200) {
+		throw new ShallotctlError('refused', [`${admin}: answered ${answer.status} to /status`]);
+	}
+
+	const status = parseStatus(parseJson(admin, answer));
+	if (status === undefined) {
+		throw new ShallotctlError('refused', [`${admin}: the answer to /status is not a status`]);
+	}
+
+	return status;
+}
+
+/** Asks for a graceful shutdown. Rejects like `readStatus`. */
+export async function requestDrain(context: CommandContext): Promise<void> {
+	const answer = await call(context, 'POST', '/drain');
+	if (answer.status < 200 || answer.status > 299) {
+		const {admin} = context.settings;
+		throw new ShallotctlError('refused', [`${admin}: answered ${answer.status} to /drain`]);
+	}
+}
--- /dev/null
+++ b/packages/shallotctl/src/commands/drain.ts
@@ -0,0 +1,20 @@
+/**
+ * `shallotctl drain`: asks an instance for a graceful shutdown.
+ */
+import {requestDrain} from '../admin-client.js';
+import {type Command} from '../command.js';
+import {exitCodes} from '../shallotctl-error.js';
+
+export const drain: Command = {
+	summary: 'ask an instance for a graceful shutdown',
+	operands: [],
+	settings: ['admin', 'timeout'],
+	required: [],
+	async run(context) {
+		const {settings, terminal} = context;
+		await requestDrain(context);
+		const {admin} = settings;
+		terminal.print(settings.json ? JSON.stringify({admin, draining: true}) : `${admin}: draining`);
+		return exitCodes.ok;
+	},
+};
--- /dev/null
+++ b/packages/shallotctl/src/commands/watch.ts
@@ -0,0 +1,76 @@
+/**
+ * `shallotctl watch`: prints a line at the start and whenever the state of an instance changes.
+ */
+import {readStatus, type InstanceStatus} from '../admin-client.js';
+import {type Command, type CommandContext} from '../command.js';
+import {exitCodes, ShallotctlError, type ExitCode} from '../shallotctl-error.js';
+import {toCell, type Row} from '../text-table.js';
+
+type Observation = {readonly fields: Row; readonly exitCode: ExitCode};
+
+/** Counts members, targets or workspaces by their `state`. */
+function countStates(rows: readonly Row[]): Record<string, number> {
+	const counts = new Map<string, number>();
+	for (const {state} of rows) {
+		const name = toCell(state ?? 'unknown');
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return Object.fromEntries([...counts].sort(([left], [right]) => (left < right ? -1 : 1)));
+}
+
+function summarize({instance, version, ready, members, targets}: InstanceStatus): Row {
+	return {
+		instance,
+		version,
+		ready,
+		members: countStates(members),
+		targets: countStates(targets),
+	};
+}
+
+async function observe(context: CommandContext): Promise<Observation> {
+	try {
+		return {fields: summarize(await readStatus(context)), exitCode: exitCodes.ok};
+	} catch (error) {
+		if (error instanceof ShallotctlError) {
+			return {fields: {problem: error.message}, exitCode: error.exitCode};
+		}
+
+		throw error;
+	}
+}
+
+function formatLine(fields: Row): string {
+	return Object.entries(fields)
+		.map(([name, value]) => `${name}=${toCell(value)}`)
+		.join(' ');
+}
+
+export const watch: Command = {
+	summary: 'print a line whenever the state of an instance changes',
+	operands: [],
+	settings: ['admin', 'timeout', 'interval', 'count'],
+	required: [],
+	async run(context) {
+		const {settings, terminal} = context;
+		let last = '';
+		for (let reads = 1; ; reads++) {
+			const {fields, exitCode} = await observe(context);
+			const line = settings.json ? JSON.stringify(fields) : formatLine(fields);
+			if (line !== last) {
+				const time = terminal.clock.wall().toISOString();
+				terminal.print(settings.json ? JSON.stringify({time, ...fields}) : `${time} ${line}`);
+				last = line;
+			}
+
+			if (reads === settings.count) {
+				return exitCode;
+			}
+
+			await new Promise<void>(resolve => {
+				terminal.clock.after(settings.interval, resolve);
+			});
+		}
+	},
+};
--- /dev/null
+++ b/packages/shallotctl/src/text-table.ts
@@ -0,0 +1,47 @@
+/**
+ * Tables of text for terminals.
+ */
+
+export type Row = Readonly<Record<string, unknown>>;
+
+const columnGap = '  ';
+
+/** Values come from the network, so control characters must not reach the terminal. */
+export function toCell(value: unknown): string {
+	const text = typeof value === 'string' ? value : (JSON.stringify(value) ?? '');
+	return text.replaceAll(/\p{C}/gu, '?');
+}
+
+function widthOf(lines: readonly string[][], column: number): number {
+	let width = 0;
+	for (const line of lines) {
+		width = Math.max(width, line[column]!.length);
+	}
+
+	return width;
+}
+
+/**
+ * Aligns rows under the names of their fields, in the order in which the fields first appear.
+ * Linear in the number of cells.
+ */
+export function formatTable(rows: readonly Row[]): string {
+	if (rows.length === 0) {
+		return '(none)';
+	}
+
+	const columns = [...new Set(rows.flatMap(row => Object.keys(row)))];
+	const lines = [
+		columns.map(column => toCell(column)),
+		...rows.map(row => columns.map(column => toCell(row[column]))),
+	];
+	const widths = columns.map((_, index) => widthOf(lines, index));
+	return lines
+		.map(line =>
+			line
+				.map((cell, index) => cell.padEnd(widths[index]!))
+				.join(columnGap)
+				.trimEnd(),
+		)
+		.join('\n');
+}
