Test the promises of the request path over real sockets

Cause: the thin path had two tests; its promises were unproved. A stop at its limit now answers the requests it cancels before it closes their connections.

--- /dev/null
+++ b/packages/io-http/src/__tests__/at-most-once.test.ts
@@ -0,0 +1,293 @@
+import http from 'node:http';
+import {createServer, type AddressInfo} from 'node:net';
+import {afterEach, expect, test} from '@jest/globals';
+import {type TargetBehaviour} from '@shallotpond/testkit/stand-in-target';
+import {
+	createFixture,
+	key,
+	problemOf,
+	send,
+	until,
+	type Fixture,
+	type FixtureOptions,
+} from './support.js';
+
+let fixture: Fixture;
+
+async function start(options?: FixtureOptions) {
+	fixture = await createFixture(options);
+	return fixture;
+}
+
+/** What the target received of a request, as it echoes it. */
+async function echoOf(options: http.RequestOptions): Promise<unknown> {
+	const answer = await send(fixture, options);
+	return JSON.parse(answer.body);
+}
+
+afterEach(async () => {
+	await fixture.stop();
+	expect(fixture.state.openGrants).toBe(0);
+	expect(fixture.state.internalErrors).toEqual([]);
+});
+
+const shortRoute = {
+	id: 'main',
+	pathPrefix: '/',
+	service: 'roster',
+	timeout: 1000,
+	stallTimeout: 200,
+};
+const partialAnswer = 'HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nabc';
+
+/** Faults after which the request may have run, and what the caller of a POST is told. */
+const faults: ReadonlyArray<readonly [string, TargetBehaviour, string, string]> = [
+	['crashes', {kind: 'crash'}, 'connection-broken', 'may-have-run'],
+	['stalls', {kind: 'stall'}, 'deadline-exceeded', 'may-have-run'],
+	['answers blank', {kind: 'blank'}, 'incomplete-answer', 'ran'],
+	[
+		'cuts its answer',
+		{kind: 'raw', bytes: partialAnswer, ends: true},
+		'incomplete-answer',
+		'may-have-run',
+	],
+	[
+		'stalls in its answer',
+		{kind: 'raw', bytes: partialAnswer},
+		'incomplete-answer',
+		'may-have-run',
+	],
+	[
+		'answers in garbage',
+		{kind: 'raw', bytes: 'garbage\r\n\r\n', ends: true},
+		'connection-broken',
+		'may-have-run',
+	],
+	[
+		'ends without framing',
+		{kind: 'raw', bytes: 'HTTP/1.1 200 OK\r\n\r\nabc', ends: true},
+		'incomplete-answer',
+		'ran',
+	],
+	[
+		'gives two lengths',
+		{
+			kind: 'raw',
+			bytes: 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+			ends: true,
+		},
+		'connection-broken',
+		'may-have-run',
+	],
+	[
+		'switches protocols',
+		{kind: 'raw', bytes: 'HTTP/1.1 101 Switching\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n'},
+		'incomplete-answer',
+		'may-have-run',
+	],
+];
+
+const expectingRoute = {...shortRoute, expectation: {smallestBody: 1}};
+
+test.each(faults)(
+	'a POST whose target %s is not sent again',
+	async (_name, fault, code, outcome) => {
+		await start({targets: 3, routes: [expectingRoute]});
+		fixture.target.behave(fault);
+		const answer = await send(fixture, {method: 'POST', body: 'swap'});
+		expect(problemOf(answer)).toEqual({code, outcome});
+		expect(fixture.received()).toHaveLength(1);
+	},
+);
+
+test.each(faults)('a GET whose target %s is answered by another target', async (_name, fault) => {
+	await start({targets: 3, routes: [expectingRoute], listener: {limits: {attemptShare: 0.3}}});
+	fixture.target.behave(fault);
+	const answer = await send(fixture, {method: 'GET'});
+	expect(answer).toMatchObject({status: 200, error: undefined});
+	expect(fixture.received()).toHaveLength(2);
+	expect(fixture.state.outcomes[1]).toMatchObject({result: 'ok', target: 't1'});
+});
+
+test('a POST that was shed is sent to another target, because it did not run', async () => {
+	await start();
+	fixture.target.behave({kind: 'shed'});
+	expect(await send(fixture, {method: 'POST', body: 'swap'})).toMatchObject({status: 200});
+	expect(fixture.targets[1]!.requests[0]!.body).toBe('swap');
+	expect(fixture.state.outcomes.map(({result}) => result)).toEqual(['shed', 'ok']);
+});
+
+test('a POST that every target sheds is refused as not-run with Retry-After', async () => {
+	await start();
+	for (const target of fixture.targets) {
+		target.behave({kind: 'shed'});
+	}
+
+	fixture.state.retries = 0;
+	const answer = await send(fixture, {method: 'POST'});
+	expect(answer).toMatchObject({status: 503, headers: {'retry-after': '1'}});
+	expect(problemOf(answer)).toEqual({code: 'target-shed', outcome: 'not-run'});
+	expect(fixture.received()).toHaveLength(1);
+});
+
+test('a plain 503 says nothing about whether the request ran, so a POST is not sent again', async () => {
+	await start();
+	fixture.target.behave({kind: 'answer', status: 503, headers: {'retry-after': '1'}});
+	expect(await send(fixture, {method: 'POST'})).toMatchObject({status: 503});
+	expect(fixture.received()).toHaveLength(1);
+});
+
+async function closedAddress(): Promise<string> {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return `127.0.0.1:${port}`;
+}
+
+test('a POST to a target that refuses connections goes to another one without cost to the budget', async () => {
+	await start();
+	const document = structuredClone(fixture.state.tables!.document);
+	document.services.roster!.targets[0]!.address = await closedAddress();
+	const {createLookupTables} = await import('@shallotpond/configuration/lookup-tables');
+	fixture.state.tables = createLookupTables(document);
+	fixture.state.retries = 0;
+	expect(await send(fixture, {method: 'POST', body: 'swap'})).toMatchObject({status: 200});
+	expect(fixture.received()).toHaveLength(1);
+	expect(fixture.state.outcomes.map(({result}) => result)).toEqual(['connection-failed', 'ok']);
+});
+
+test('a large body that has begun to flow is not sent a second time, whatever the method', async () => {
+	await start({routes: [shortRoute]});
+	fixture.target.behave({kind: 'crash'});
+	const answer = await send(fixture, {method: 'PUT', body: 'x'.repeat(500_000)});
+	expect(problemOf(answer)).toEqual({code: 'connection-broken', outcome: 'may-have-run'});
+	expect(fixture.received()).toHaveLength(1);
+});
+
+test('a request that crashes targets reaches at most two', async () => {
+	await start({targets: 4, listener: {limits: {attempts: 10}}});
+	for (const target of fixture.targets) {
+		target.behave({kind: 'crash'});
+	}
+
+	expect(problemOf(await send(fixture)).code).toBe('connection-broken');
+	expect(fixture.state.crashes).toEqual(['t0', 't1']);
+	expect(fixture.received()).toHaveLength(2);
+});
+
+test('retries end with the budget', async () => {
+	await start();
+	fixture.target.behave({kind: 'crash'});
+	fixture.state.retries = 0;
+	expect(problemOf(await send(fixture))).toEqual({
+		code: 'connection-broken',
+		outcome: 'may-have-run',
+	});
+	expect(fixture.received()).toHaveLength(1);
+});
+
+test('a refusal after a try that may have run does not claim that nothing ran', async () => {
+	await start({targets: 1});
+	fixture.target.behave({kind: 'crash'});
+	expect(problemOf(await send(fixture))).toEqual({code: 'no-target', outcome: 'may-have-run'});
+});
+
+test('a late answer reaches nobody, and its connection is not used again', async () => {
+	await start({targets: 1, routes: [shortRoute]});
+	fixture.target.behaveOnce({kind: 'wait'});
+	expect(problemOf(await send(fixture, {method: 'POST', path: '/late'})).outcome).toBe(
+		'may-have-run',
+	);
+	fixture.target.release();
+	const answer = await send(fixture, {method: 'POST', path: '/next'});
+	expect(JSON.parse(answer.body)).toMatchObject({url: '/next'});
+	const [late, next] = fixture.received();
+	expect(next!.socket).not.toBe(late!.socket);
+});
+
+test('an answer behind an answer reaches nobody, and its connection is not used again', async () => {
+	await start({targets: 1});
+	const own = 'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown';
+	const crossed = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother';
+	fixture.target.behaveOnce({kind: 'raw', bytes: own});
+	expect(await send(fixture, {path: '/1'})).toMatchObject({body: 'own'});
+	fixture.received()[0]!.socket.write(crossed);
+	await until(() => fixture.state.counts.get('unexpected-bytes') === 1);
+	expect(await echoOf({path: '/2'})).toMatchObject({url: '/2'});
+	fixture.target.behaveOnce({kind: 'raw', bytes: own + crossed});
+	await send(fixture, {path: '/3'});
+	expect(await echoOf({path: '/4'})).toMatchObject({url: '/4'});
+});
+
+test('a good connection is used again, and no more idle ones stay than the target allows', async () => {
+	await start({targets: 1, service: {slots: 4, connections: 5}});
+	await send(fixture);
+	await send(fixture);
+	expect(fixture.target.connections).toBe(1);
+	await Promise.all(Array.from({length: 4}, async () => send(fixture)));
+	await until(() => fixture.target.openConnections === 1);
+});
+
+test('a target whose connections are used up gets no further one', async () => {
+	await start({targets: 1, service: {slots: 2, connections: 2}});
+	fixture.target.behave({kind: 'wait'});
+	const first = [send(fixture), send(fixture)];
+	await until(() => fixture.received().length === 2);
+	expect(problemOf(await send(fixture))).toEqual({code: 'no-target', outcome: 'not-run'});
+	fixture.target.release();
+	await Promise.all(first);
+	expect(fixture.target.connections).toBe(2);
+});
+
+test('a caller that goes away cancels its request at the target', async () => {
+	await start({targets: 1});
+	fixture.target.behave({kind: 'stall'});
+	const request = http.get({
+		port: fixture.listener.port,
+		host: '127.0.0.1',
+		agent: false,
+		headers: {'x-api-key': key},
+	});
+	request.on('error', () => undefined);
+	await until(() => fixture.received().length === 1);
+	request.destroy();
+	await until(() => fixture.received()[0]!.isAborted && fixture.state.outcomes.length === 1);
+	expect(fixture.state.outcomes[0]!.result).toBe('cancelled');
+	expect(fixture.listener.activeRequests).toBe(0);
+});
+
+test('an idempotency key is claimed for a POST only, and settled with what happened', async () => {
+	const settled: string[] = [];
+	await start({
+		policy: {
+			claimIdempotencyKey: async request => ({
+				kind: 'claimed',
+				settle: state => void settled.push(`${request.key} ${state}`),
+			}),
+		},
+	});
+	const headers = {'x-api-key': key, 'idempotency-key': 'swap-1'};
+	await send(fixture, {headers});
+	await send(fixture, {method: 'POST', headers});
+	fixture.target.behaveOnce({kind: 'crash'});
+	await send(fixture, {method: 'POST', headers});
+	fixture.target.behaveOnce({kind: 'shed'});
+	fixture.targets[1]!.behaveOnce({kind: 'shed'});
+	await send(fixture, {method: 'POST', headers});
+	expect(settled).toEqual(['swap-1 ran', 'swap-1 may-have-run', 'swap-1 not-run']);
+});
+
+test('a target that moved out while the request waited gets no work', async () => {
+	await start();
+	const document = structuredClone(fixture.state.tables!.document);
+	document.failureDomains.a!.state = 'out';
+	const {createLookupTables} = await import('@shallotpond/configuration/lookup-tables');
+	fixture.state.tables = createLookupTables(document);
+	expect(await send(fixture)).toMatchObject({status: 200});
+	expect(fixture.target.requests).toHaveLength(0);
+});
--- /dev/null
+++ b/packages/io-http/src/__tests__/hostile-input.test.ts
@@ -0,0 +1,238 @@
+import net from 'node:net';
+import {afterEach, beforeEach, expect, test} from '@jest/globals';
+import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
+import {createFixture, key, send, sendRaw, until, type Fixture} from './support.js';
+
+let fixture: Fixture;
+
+beforeEach(async () => {
+	fixture = await createFixture({
+		targets: 1,
+		routes: [
+			{id: 'open', pathPrefix: '/', service: 'roster', open: true, largestRequestBody: 100_000},
+			{id: 'admin', pathPrefix: '/admin', service: 'roster'},
+		],
+		listener: {limits: {headersTimeout: 300, requestTimeout: 1000, bodyIdleTimeout: 300}},
+	});
+});
+
+afterEach(async () => {
+	expect(fixture.received()).toHaveLength(0);
+	await fixture.stop();
+	expect(fixture.state.internalErrors).toEqual([]);
+});
+
+const head = 'POST /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n';
+const bodyless = 'GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n';
+const getLine = (url: string) => `GET ${url} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`;
+
+/** Each guards against a request that two servers read differently, or that costs too much. */
+const hostileRequests: ReadonlyArray<readonly [string, string, string]> = [
+	[
+		'both lengths',
+		`${head}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+		'ambiguous-framing',
+	],
+	['two lengths', `${head}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`, 'ambiguous-framing'],
+	[
+		'equal lengths',
+		`${head}Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc`,
+		'ambiguous-framing',
+	],
+	['list of lengths', `${head}Content-Length: 3, 3\r\n\r\nabc`, 'ambiguous-framing'],
+	['length with sign', `${head}Content-Length: +3\r\n\r\nabc`, 'ambiguous-framing'],
+	[
+		'second coding',
+		`${head}Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n`,
+		'ambiguous-framing',
+	],
+	[
+		'two codings',
+		`${head}Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+		'ambiguous-framing',
+	],
+	['folded line', `${bodyless}X: a\r\n b\r\n\r\n`, 'malformed-request'],
+	['folded first line', 'GET /a HTTP/1.1\r\n X: b\r\nHost: a\r\n\r\n', 'malformed-request'],
+	['bare LF', 'GET /a HTTP/1.1\nHost: a\n\n', 'malformed-request'],
+	['bare LF in a header', `${bodyless}X: a\nY: b\r\n\r\n`, 'malformed-request'],
+	['bare CR', `${bodyless}X: a\rb\r\n\r\n`, 'malformed-request'],
+	['NUL', `${bodyless}X: a\0b\r\n\r\n`, 'malformed-request'],
+	['space before colon', `${bodyless}X : a\r\n\r\n`, 'malformed-request'],
+	['header count', `${bodyless}${'X: a\r\n'.repeat(200)}\r\n`, 'headers-too-large'],
+	['header bytes', `${bodyless}X: ${'a'.repeat(20_000)}\r\n\r\n`, 'headers-too-large'],
+	['long URL', getLine(`/${'a'.repeat(9000)}`), 'url-too-long'],
+	['bad percent-encoding', getLine('/%zz'), 'invalid-target'],
+	['bad percent-encoding in the query', getLine('/a?b=%2'), 'invalid-target'],
+	['overlong UTF-8', getLine('/%c0%ae%c0%ae/admin'), 'invalid-target'],
+	['encoded slash', getLine('/x%2fadmin'), 'invalid-target'],
+	['encoded backslash', getLine('/x%5Cadmin'), 'invalid-target'],
+	['encoded NUL', getLine('/admin%00'), 'invalid-target'],
+	['encoded line break', getLine('/a%0d%0aX:b'), 'invalid-target'],
+	['dot segment', getLine('/x/../admin'), 'invalid-target'],
+	['encoded dot segment', getLine('/x/%2e%2E/admin'), 'invalid-target'],
+	['dot segment with parameter', getLine('/x/..;a/admin'), 'invalid-target'],
+	['merged slashes of another route', getLine('//admin'), 'invalid-target'],
+	['backslash', getLine(String.raw`/x\admin`), 'invalid-target'],
+	['fragment', getLine('/a#b'), 'invalid-target'],
+	['absolute form', getLine('http://b/a'), 'invalid-target'],
+	['asterisk form', 'OPTIONS * HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n', 'invalid-target'],
+	['no Host', 'GET /a HTTP/1.1\r\n\r\n', 'invalid-host'],
+	['two Hosts', `${bodyless}Host: a\r\n\r\n`, 'invalid-host'],
+	['Host with path', 'GET /a HTTP/1.1\r\nHost: a/admin\r\n\r\n', 'invalid-host'],
+	['HTTP/1.0', 'GET /a HTTP/1.0\r\nHost: a\r\n\r\n', 'version-refused'],
+	['HTTP/0.9', 'GET /a\r\n\r\n', 'version-refused'],
+	['HTTP/2 preface', 'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n', 'malformed-request'],
+	[
+		'upgrade',
+		'GET /a HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n',
+		'upgrade-refused',
+	],
+	['CONNECT', 'CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n', 'method-refused'],
+	['TRACE', 'TRACE /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n', 'method-refused'],
+	['unknown expectation', `${bodyless}Expect: 200-ok\r\n\r\n`, 'expectation-refused'],
+	['declared body too large', `${head}Content-Length: 100001\r\n\r\n`, 'body-too-large'],
+	['slow headers', 'GET /a HTTP/1.1\r\nHost: a\r\n', 'request-timeout'],
+	['slow body', `${head}Content-Length: 5\r\n\r\nab`, 'request-timeout'],
+];
+
+test.each(hostileRequests)(
+	'%s is refused, counted and not forwarded',
+	async (_name, bytes, code) => {
+		const answer = await sendRaw(fixture, bytes);
+		expect(answer).toMatch(/^HTTP\/1\.1 [45]\d\d /);
+		expect(answer).toContain('application/problem+json');
+		expect(answer).toContain(`"code":"${code}","outcome":"not-run"`);
+		expect(answer.match(/^HTTP\/1\.1 /gm)).toHaveLength(1);
+		expect(fixture.state.counts.get(`refusals ${code}`)).toBe(1);
+	},
+);
+
+/** The answer cannot be framed where the request has begun, so the connection ends without one. */
+const brokenBodies: ReadonlyArray<readonly [string, string]> = [
+	['bare LF in a chunk size', '1\na\r\n0\r\n\r\n'],
+	['bad chunk size', 'zz\r\na\r\n0\r\n\r\n'],
+	['chunk longer than its size', '1\r\nabc\r\n0\r\n\r\n'],
+	['folded trailer', '1\r\na\r\n0\r\nX: a\r\n b\r\n\r\n'],
+	['huge chunk size', 'fffffffffffffffff\r\na\r\n0\r\n\r\n'],
+];
+
+test.each(brokenBodies)('a chunked body with a %s is not forwarded', async (_name, body) => {
+	const answer = await sendRaw(fixture, `${head}Transfer-Encoding: chunked\r\n\r\n${body}`);
+	expect(answer === '' || /^HTTP\/1\.1 4\d\d /.test(answer)).toBe(true);
+});
+
+test('an unknown transfer coding, which the parser finds after the head, closes the connection', async () => {
+	const answer = await sendRaw(fixture, `${head}Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n`);
+	expect(answer).toBe('');
+	expect(fixture.state.counts.get('closed-connections HPE_INVALID_TRANSFER_ENCODING')).toBe(1);
+});
+
+test('a chunked body above the limit of its route is refused while it is read', async () => {
+	const chunk = `8000\r\n${'a'.repeat(0x80_00)}\r\n`;
+	const limits = {bufferedRequestBytes: 1_000_000};
+	const own = await createFixture({
+		targets: 1,
+		routes: [{id: 'main', pathPrefix: '/', service: 'roster', largestRequestBody: 100_000}],
+		listener: {limits},
+	});
+	const text = `POST / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\nTransfer-Encoding: chunked\r\n\r\n`;
+	expect(await sendRaw(own, text + chunk.repeat(4))).toContain('"code":"body-too-large"');
+	expect(own.received()).toHaveLength(0);
+	await own.stop();
+});
+
+test('a caller that pipelines without end is cut off', async () => {
+	const own = await createFixture({targets: 1, listener: {limits: {pipelinedRequests: 4}}});
+	own.target.behave({kind: 'stall'});
+	await sendRaw(own, `GET / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\n\r\n`.repeat(6));
+	expect(own.state.counts.get('closed-connections pipelined-requests')).toBe(2);
+	expect(own.received().length).toBeLessThanOrEqual(4);
+	await own.stop();
+});
+
+test('a broken request behind one in progress gets no answer that could be taken for the first', async () => {
+	const own = await createFixture({targets: 1});
+	own.target.behave({kind: 'wait'});
+	const valid = `GET / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\n\r\n`;
+	const answer = sendRaw(own, `${valid}GET / HTTP/1.1\nHost: a\n\n`);
+	expect(await answer).toBe('');
+	await own.stop();
+});
+
+function pick<Item>(random: Random, items: readonly Item[]): Item {
+	return items[Math.floor(random() * items.length)]!;
+}
+
+/** Puts one fault at a random place of a request that is otherwise valid. */
+function createMalformedRequest(random: Random): string {
+	const digits = () => String(Math.floor(random() * 10_000));
+	const fillers = ['Accept: */*', 'X-Note: 1', `X-Number: ${digits()}`, 'User-Agent: test'];
+	const lines = Array.from({length: Math.floor(random() * 6)}, () => pick(random, fillers));
+	const control = String.fromCodePoint(pick(random, [0, 1, 2, 8, 11, 12, 14, 27, 31, 127]));
+	const badLines = [
+		`Content-Length: ${digits()}x`,
+		`Content-Length: -${digits()}`,
+		`Content-Length: ${digits()},${digits()}`,
+		'Content-Length: 1\r\nContent-Length: 2',
+		'Content-Length: 1\r\nTransfer-Encoding: chunked',
+		`Transfer-Encoding: ${pick(random, ['gzip', 'identity', 'chunked, gzip', '"chunked"', 'chunked;a=b', ',chunked'])}`,
+		`X-Folded: a\r\n${pick(random, [' ', '\t'])}b`,
+		`X-Bare: a${pick(random, ['\r', '\n'])}b: c`,
+		`X-Control: a${control}b`,
+		`X${pick(random, [' ', '(', '"', '\t', control])}Name: a`,
+		': nameless',
+		'no-colon',
+		'Host: b',
+	];
+	const badUrls = [
+		`/${digits()}/%${pick(random, ['zz', '0', '2', 'g1', '%%'])}`,
+		`/${digits()}/${pick(random, ['..', '.', '%2e%2e', '.%2E', '%2e', '..;x'])}/admin`,
+		`/${digits()}${pick(random, ['%2f', '%2F', '%5c', '%00', '%0a', '%7f'])}admin`,
+		`/${pick(random, ['<', '>', '"', '{', '}', '|', '^', '`', '\\', '#', '\u00E9'])}`,
+		`http://b/${digits()}`,
+		`//${pick(random, ['', '/'])}admin`,
+		'*',
+	];
+	const isUrlBad = random() < 0.4;
+	const url = isUrlBad ? pick(random, badUrls) : `/${digits()}`;
+	lines.splice(
+		Math.floor(random() * (lines.length + 1)),
+		0,
+		isUrlBad ? 'X: a' : pick(random, badLines),
+	);
+	return `${pick(random, ['GET', 'POST', 'PUT'])} ${url} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n${lines.join('\r\n')}\r\n\r\n`;
+}
+
+async function sendAll(texts: readonly string[]): Promise<string[]> {
+	return Promise.all(texts.map(async text => sendRaw(fixture, text)));
+}
+
+test('none of 3,000 malformed requests is forwarded, and each is refused or closed', async () => {
+	const random = createSeededRandom(20_261_204);
+	for (let round = 0; round < 60; round++) {
+		const requests = Array.from({length: 50}, () => createMalformedRequest(random));
+		const answers = await sendAll(requests);
+		for (const [index, answer] of answers.entries()) {
+			const isRefused = answer === '' || /^HTTP\/1\.1 (?:400|408|431|501|505) /.test(answer);
+			expect(isRefused ? '' : requests[index]! + answer).toBe('');
+		}
+	}
+});
+
+test('random bytes neither stop the listener nor reach a target', async () => {
+	const random = createSeededRandom(7);
+	for (let round = 0; round < 10; round++) {
+		const texts = Array.from({length: 50}, () =>
+			String.fromCodePoint(...Array.from({length: 200}, () => Math.floor(random() * 256))),
+		);
+		await sendAll(texts);
+	}
+
+	expect(await send(fixture, {path: '/admin', headers: {}})).toMatchObject({status: 401});
+});
+
+test('a caller that connects and sends nothing is closed', async () => {
+	const socket = net.connect(fixture.listener.port, '127.0.0.1');
+	socket.on('error', () => undefined).resume();
+	await until(() => socket.destroyed);
+});
--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -5,7 +5,6 @@
 import {digestKey} from '@shallotpond/configuration/key-digest';
 import {createLookupTables, type LookupTables} from '@shallotpond/configuration/lookup-tables';
 import {documentSchema} from '@shallotpond/configuration/document-schema';
-import {createSystemClock} from '@shallotpond/kernel/clock';
 import {createSteerableClock} from '@shallotpond/testkit/steerable-clock';
 import {
 	createStandInTarget,
@@ -25,7 +24,10 @@
 	readonly target?: StandInTargetOptions;
 	readonly listener?: Partial<CallerListenerOptions>;
 	readonly policy?: Partial<RequestPolicy>;
-	/** Uses a clock that only the test advances. */
+	/**
+	 * Whether only the test advances the clock. Otherwise it goes on by 2 ms with each turn of the
+	 * event loop, so that a busy machine slows the timeouts down together with everything else.
+	 */
 	readonly isSteered?: boolean;
 };
 
@@ -114,9 +116,15 @@
 		...options.policy,
 	};
 	const clock = createSteerableClock();
+	const ticker =
+		options.isSteered === true
+			? undefined
+			: setInterval(() => {
+					clock.advance(2);
+				}, 1);
 	const listener = createCallerListener({
 		policy,
-		clock: options.isSteered === true ? clock : createSystemClock(),
+		clock,
 		address: '127.0.0.1',
 		port: 0,
 		counters: {
@@ -129,7 +137,20 @@
 		...options.listener,
 		limits: {keepAliveTimeout: 500, connectionCheckInterval: 50, ...options.listener?.limits},
 	});
-	await listener.start();
+	async function stopTargets(): Promise<void> {
+		for (const target of targets) {
+			await target.stop();
+		}
+	}
+
+	try {
+		await listener.start();
+	} catch (error) {
+		clearInterval(ticker);
+		await stopTargets();
+		throw error;
+	}
+
 	return {
 		targets,
 		target: targets[0]!,
@@ -140,11 +161,9 @@
 		withdraw,
 		received: () => targets.flatMap(target => [...target.requests]),
 		async stop() {
-			for (const target of targets) {
-				await target.stop();
-			}
-
+			await stopTargets();
 			await listener.stop();
+			clearInterval(ticker);
 		},
 	};
 }
--- /dev/null
+++ b/packages/io-http/src/__tests__/whole-answers.test.ts
@@ -0,0 +1,288 @@
+import {Buffer} from 'node:buffer';
+import http, {type IncomingMessage} from 'node:http';
+import {afterEach, expect, test} from '@jest/globals';
+import {readFilePiece, type TargetBehaviour} from '@shallotpond/testkit/stand-in-target';
+import {
+	createFixture,
+	key,
+	problemOf,
+	send,
+	until,
+	type Fixture,
+	type FixtureOptions,
+} from './support.js';
+
+let fixture: Fixture;
+
+async function start(options?: FixtureOptions) {
+	fixture = await createFixture({targets: 3, ...options});
+	return fixture;
+}
+
+afterEach(async () => {
+	await fixture.stop();
+	expect(fixture.state.openGrants).toBe(0);
+	expect(fixture.state.internalErrors).toEqual([]);
+});
+
+const route = {id: 'main', pathPrefix: '/', service: 'roster', timeout: 5000, stallTimeout: 200};
+const size = 500_000;
+/** What a caller sees when its connection was reset. */
+const reset = 'read ECONNRESET';
+/** Where bytes are still on their way, the reset may overtake them and looks like a cut. */
+const anyError: unknown = expect.any(String);
+const file: TargetBehaviour = {kind: 'file', size};
+
+type Download = {
+	readonly bytes: number;
+	readonly isExact: boolean;
+	readonly error: string | undefined;
+};
+
+/** Reads an answer and compares each byte with the file. `onData` sees the bytes so far. */
+async function download(
+	onData?: (bytes: number, response: IncomingMessage) => void,
+): Promise<Download> {
+	return new Promise(resolve => {
+		const request = http.get({
+			host: '127.0.0.1',
+			port: fixture.listener.port,
+			agent: false,
+			headers: {'x-api-key': key},
+		});
+		let bytes = 0;
+		let isExact = true;
+		request.on('error', error => {
+			resolve({bytes, isExact, error: error.message});
+		});
+		request.on('response', response => {
+			response.on('data', (chunk: Uint8Array) => {
+				for (let index = 0; index < chunk.length;) {
+					const expected = readFilePiece(bytes + index, chunk.length - index);
+					const part = chunk.subarray(index, index + expected.length);
+					isExact &&= Buffer.compare(expected, part) === 0;
+					index += expected.length;
+				}
+
+				bytes += chunk.length;
+				onData?.(bytes, response);
+			});
+			response.on('error', error => {
+				resolve({bytes, isExact, error: error.message});
+			});
+			response.on('end', () => {
+				resolve({bytes, isExact, error: undefined});
+			});
+		});
+	});
+}
+
+const whole: Download = {bytes: size, isExact: true, error: undefined};
+const stops = [
+	['stalls', 'stall'],
+	['is cut', 'cut'],
+] as const;
+
+test.each(stops)(
+	'a download that %s goes on at another target, byte for byte',
+	async (_name, stopWith) => {
+		await start({routes: [route]});
+		fixture.targets[0]!.behave({kind: 'file', size, stopAfter: 200_000, stopWith});
+		fixture.targets[1]!.behave({kind: 'file', size, stopAfter: 100_000, stopWith});
+		fixture.targets[2]!.behave(file);
+		expect(await download()).toEqual(whole);
+		const ranges = fixture
+			.received()
+			.map(({rawHeaders}) => rawHeaders[rawHeaders.indexOf('range') + 1]);
+		expect(ranges.slice(1)).toEqual(['bytes=200000-', 'bytes=300000-']);
+		expect(fixture.state.counts.get('resumes')).toBe(2);
+	},
+);
+
+test.each(stops)(
+	'a chunked download that %s goes on at another target',
+	async (_name, stopWith) => {
+		await start({routes: [route]});
+		fixture.targets[0]!.behave({kind: 'file', size, stopAfter: 200_000, stopWith, isChunked: true});
+		fixture.targets[1]!.behave({kind: 'file', size, isChunked: true});
+		expect(await download()).toEqual(whole);
+	},
+);
+
+/** Each is an answer after which the rest could not be trusted to belong to the beginning. */
+const wrongParts: ReadonlyArray<readonly [string, TargetBehaviour]> = [
+	['another tag', {kind: 'file', size, etag: '"other"'}],
+	['another first byte', {kind: 'file', size, wrongRange: `bytes 200001-${size - 1}/${size}`}],
+	['another last byte', {kind: 'file', size, wrongRange: `bytes 200000-${size - 2}/${size}`}],
+	['another size', {kind: 'file', size, wrongRange: `bytes 200000-${size}/${size + 1}`}],
+	['no range', {kind: 'file', size, wrongRange: 'none'}],
+	['an error', {kind: 'answer', status: 500, body: 'x'}],
+	[
+		'206 with another tag',
+		{
+			kind: 'answer',
+			status: 206,
+			headers: {
+				etag: '"other"',
+				'content-range': `bytes 200000-${size - 1}/${size}`,
+				'content-length': '300000',
+			},
+			body: 'x'.repeat(300_000),
+		},
+	],
+];
+
+test.each(wrongParts)(
+	'a rest with %s is not glued on; the answer ends with a reset',
+	async (_name, wrong) => {
+		await start({routes: [route], targets: 2});
+		fixture.targets[0]!.behave({kind: 'file', size, stopAfter: 200_000, stopWith: 'stall'});
+		fixture.targets[1]!.behave(wrong);
+		const result = await download();
+		expect(result).toMatchObject({bytes: 200_000, isExact: true, error: reset});
+	},
+);
+
+const unsafeDownloads: ReadonlyArray<readonly [string, TargetBehaviour]> = [
+	['a weak tag', {kind: 'file', size, etag: 'W/"file"', stopAfter: 200_000, stopWith: 'stall'}],
+	['an empty tag', {kind: 'file', size, etag: '', stopAfter: 200_000, stopWith: 'stall'}],
+	[
+		'a weak tag and chunks',
+		{kind: 'file', size, etag: 'W/"file"', stopAfter: 200_000, stopWith: 'cut', isChunked: true},
+	],
+];
+
+test.each(unsafeDownloads)(
+	'a cut download with %s ends with a reset, never cleanly',
+	async (_name, cut) => {
+		await start({routes: [route]});
+		fixture.targets[0]!.behave(cut);
+		expect(await download()).toMatchObject({bytes: 200_000, isExact: true, error: reset});
+		expect(fixture.received()).toHaveLength(1);
+		expect(fixture.state.counts.get('reset-answers incomplete-answer')).toBe(1);
+	},
+);
+
+test('the cut answer of a POST ends with a reset and is not resumed, even with a strong tag', async () => {
+	await start({routes: [route]});
+	fixture.target.behave({kind: 'file', size, stopAfter: 200_000, stopWith: 'cut'});
+	const answer = await send(fixture, {method: 'POST'});
+	expect(answer).toMatchObject({error: anyError});
+	expect(fixture.received()).toHaveLength(1);
+});
+
+test('a download resumes no more often than a request may be tried', async () => {
+	await start({targets: 4, routes: [route]});
+	for (const target of fixture.targets) {
+		target.behave({kind: 'file', size, stopAfter: 100_000, stopWith: 'cut'});
+	}
+
+	expect(await download()).toMatchObject({isExact: true, error: anyError});
+	expect(fixture.received()).toHaveLength(3);
+});
+
+test('blank answers and unexpected types are replaced for a GET, and said to have run for a POST', async () => {
+	const expectation = {smallestBody: 10, contentTypes: ['application/json']};
+	await start({routes: [{...route, expectation}]});
+	const bad: readonly TargetBehaviour[] = [
+		{kind: 'answer', headers: {'content-type': 'application/json'}, body: 'short'},
+		{kind: 'answer', headers: {'content-type': 'text/html'}, body: 'a page of an error'},
+		{kind: 'answer', status: 204},
+	];
+	for (const behaviour of bad) {
+		fixture.target.behave(behaviour);
+		expect(await send(fixture)).toMatchObject({status: 200, body: expect.stringContaining('GET')});
+	}
+
+	fixture.target.behave(bad[0]!);
+	const answer = await send(fixture, {method: 'POST'});
+	expect(answer.status).toBe(502);
+	expect(problemOf(answer)).toEqual({code: 'incomplete-answer', outcome: 'ran'});
+});
+
+test('answers without a body, errors and ranges are not taken for blank ones', async () => {
+	const expectation = {smallestBody: 10, contentTypes: ['application/json']};
+	await start({routes: [{...route, expectation}]});
+	const cases: ReadonlyArray<readonly [string, number]> = [
+		['HEAD', 200],
+		['GET', 304],
+		['GET', 404],
+		['GET', 206],
+		['DELETE', 204],
+		['POST', 201],
+	];
+	for (const [method, status] of cases) {
+		const headers = {'content-type': 'application/json'};
+		fixture.target.behave({kind: 'answer', status, headers});
+		expect(await send(fixture, {method})).toMatchObject({status, error: undefined});
+	}
+
+	expect(fixture.targets[1]!.requests).toHaveLength(0);
+});
+
+test('a download for a withdrawn key is cut by a reset, and its connection is not used again', async () => {
+	await start({routes: [route], isSteered: true});
+	fixture.target.behave({kind: 'file', size, stopAfter: 200_000});
+	const result = download(bytes => {
+		if (bytes === 200_000) {
+			fixture.withdraw();
+			fixture.clock.advance(199);
+			fixture.clock.advance(301);
+		}
+	});
+	// 500 ms is the interval of the key check; the stall alone would lead to another target.
+	expect(await result).toMatchObject({bytes: 200_000, error: reset});
+	expect(fixture.state.counts.get('reset-answers key-withdrawn')).toBe(1);
+	await until(() => fixture.target.openConnections === 0);
+	expect(problemOf(await send(fixture)).code).toBe('unknown-key');
+});
+
+test('a key that is withdrawn while its request waits for a slot gets no slot', async () => {
+	await start();
+	const {acquireSlot} = fixture.policy;
+	Object.assign(fixture.policy, {
+		async acquireSlot(request: Parameters<typeof acquireSlot>[0]) {
+			fixture.withdraw();
+			return acquireSlot(request);
+		},
+	});
+	expect(problemOf(await send(fixture))).toEqual({code: 'unknown-key', outcome: 'not-run'});
+	expect(fixture.received()).toHaveLength(0);
+});
+
+test('a key that is withdrawn before the head of an answer came ends the request', async () => {
+	await start({isSteered: true});
+	fixture.target.behave({kind: 'stall'});
+	const answer = send(fixture, {method: 'POST'});
+	await until(() => fixture.received().length === 1);
+	fixture.withdraw();
+	fixture.clock.advance(500);
+	expect(problemOf(await answer)).toEqual({code: 'unknown-key', outcome: 'may-have-run'});
+});
+
+test('a caller that takes no bytes is reset instead of holding its slot', async () => {
+	await start({listener: {limits: {callerStallTimeout: 200}}});
+	fixture.target.behave({kind: 'file', size: 100_000_000});
+	let paused: IncomingMessage | undefined;
+	const result = download((_bytes, response) => {
+		paused ??= response.pause();
+	});
+	await until(() => fixture.state.outcomes.length > 0);
+	paused!.resume();
+	expect(await result).toMatchObject({isExact: true, error: anyError});
+	expect(fixture.state.outcomes[0]!.result).toBe('cancelled');
+});
+
+test('trailers and repeated headers of an answer reach the caller', async () => {
+	await start();
+	fixture.target.behave({
+		kind: 'raw',
+		bytes:
+			'HTTP/1.1 200 OK\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nConnection: X-Hop\r\nX-Hop: 1\r\n' +
+			'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Sum: 7\r\n\r\n',
+	});
+	const answer = await send(fixture);
+	expect(answer).toMatchObject({status: 200, body: 'abc', error: undefined});
+	expect(answer.headers['set-cookie']).toEqual(['a=1', 'b=2']);
+	expect(answer.headers['x-hop']).toBeUndefined();
+});
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -59,7 +59,8 @@
 	beginLeaving(): void;
 	/**
 	 * Accepts no new connections, waits until every open one has finished its requests and was idle
-	 * for `keepAliveTimeout`, and closes. After `stopTimeout` it resets what is left.
+	 * for `keepAliveTimeout`, and closes. After `stopTimeout` it cancels the requests that are left,
+	 * and 1 s later it closes all connections. May be called again.
 	 */
 	stop(): Promise<void>;
 };
@@ -76,6 +77,22 @@
 };
 /* eslint-enable @typescript-eslint/naming-convention */
 
+/** After these, it is not certain where the next request would begin, or no next one is wanted. */
+const closingProblems: ReadonlySet<string> = new Set<ProblemCode>([
+	'ambiguous-framing',
+	'headers-too-large',
+	'internal-error',
+	'invalid-host',
+	'malformed-request',
+	'request-timeout',
+	'upgrade-refused',
+	'url-too-long',
+	'version-refused',
+]);
+
+/** Milliseconds in which requests that a stop cancels can tell their callers. */
+const lastAnswersTime = 1000;
+
 /** Unread bytes of a request body up to which its connection stays open after a refusal. */
 const drainedBodyBytes = 65_536;
 
@@ -131,7 +148,8 @@
 
 	function answerProblem(request: IncomingMessage, response: ServerResponse, problem: Problem) {
 		counters.increment('refusals', problem.code);
-		sendProblem(response, problem, isLeaving || owesLargeBody(request));
+		const mustClose = isLeaving || closingProblems.has(problem.code) || owesLargeBody(request);
+		sendProblem(response, problem, mustClose);
 	}
 
 	function finish(request: IncomingMessage, response: ServerResponse, result: ForwardResult): void {
@@ -289,12 +307,14 @@
 		async stop() {
 			isLeaving = true;
 			await new Promise<void>(resolve => {
-				const cancelTimeout = clock.after(limits.stopTimeout, () => {
+				let cancelTimeout = clock.after(limits.stopTimeout, () => {
 					for (const cancellation of activeRequests) {
 						cancellation.cancel('stopped');
 					}
 
-					server.closeAllConnections();
+					cancelTimeout = clock.after(lastAnswersTime, () => {
+						server.closeAllConnections();
+					});
 				});
 				// `http.Server#close` also closes idle connections, on which a request may be under way.
 				net.Server.prototype.close.call(server, () => {
--- a/packages/testkit/src/stand-in-target.ts
+++ b/packages/testkit/src/stand-in-target.ts
@@ -6,7 +6,6 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import https from 'node:https';
 import {type AddressInfo, type Socket} from 'node:net';
-import {type Duplex} from 'node:stream';
 
 export type TargetBehaviour =
 	/** Answers 200 with method, path, headers, trailers and body as JSON. */
@@ -56,7 +55,7 @@
 	isComplete: boolean;
 	isAborted: boolean;
 	/** The connection that carried it. */
-	readonly socket: Duplex;
+	readonly socket: Socket;
 };
 
 export type StandInTarget = {
@@ -71,6 +70,8 @@
 	behave(behaviour: TargetBehaviour): void;
 	/** For the next requests, one each; then the lasting behaviour applies again. */
 	behaveOnce(...behaviours: TargetBehaviour[]): void;
+	/** Leaves the bodies of all following requests unread. */
+	pauseReading(): void;
 	/** Ends every `wait`. */
 	release(): void;
 	/** Everything received, as one text, to search for a secret. */
@@ -142,12 +143,13 @@
 
 export function createStandInTarget(options: StandInTargetOptions = {}): StandInTarget {
 	const requests: ReceivedTargetRequest[] = [];
-	const sockets = new Set<Duplex>();
+	const sockets = new Set<Socket>();
 	const next: TargetBehaviour[] = [];
 	let waiting: Array<() => void> = [];
 	let lasting: TargetBehaviour = {kind: 'echo'};
 	let connections = 0;
 	let address = '';
+	let isReading = true;
 
 	function echo(request: ReceivedTargetRequest, response: ServerResponse): void {
 		const {method, url, rawHeaders, rawTrailers, body} = request;
@@ -223,14 +225,18 @@
 			socket: request.socket,
 		};
 		requests.push(received);
+		response.on('close', () => {
+			received.isAborted = !response.writableFinished;
+		});
+		if (!isReading) {
+			return;
+		}
+
 		request.setEncoding('latin1');
 		request.on('data', (text: string) => {
 			received.body += text;
 		});
 		request.on('error', () => undefined);
-		response.on('close', () => {
-			received.isAborted = !response.writableFinished;
-		});
 		request.on('end', () => {
 			received.rawTrailers = request.rawTrailers;
 			received.isComplete = true;
@@ -268,6 +274,9 @@
 		behaveOnce(...behaviours) {
 			next.push(...behaviours);
 		},
+		pauseReading() {
+			isReading = false;
+		},
 		release() {
 			for (const callback of waiting.splice(0)) {
 				callback();
