Test the call budget so that an unlimited client fails the test

Cause: with the wait in the call budget removed, all tests still passed. Change: the watch test counts calls over 1,000 turns of the event loop, and the budget itself is tested call by call on a steerable clock.

--- a/packages/io-platform/src/__tests__/platform-clients.test.ts
+++ b/packages/io-platform/src/__tests__/platform-clients.test.ts
@@ -190,15 +190,39 @@
 		const {client, clock} = createClient(url, {current, burst: 5, callsPerSecond: 1});
 		client.start();
 		await until(() => client.status.calls === 5);
-		for (let second = 1; second <= 20; second++) {
-			clock.advance(1000);
-			await until(() => client.status.calls >= 5 + second - 1);
+		// An unlimited client makes hundreds of calls in these turns of the event loop.
+		for (let turn = 0; turn < 1000; turn++) {
+			await nextTurn();
 		}
 
-		expect(client.status.calls).toBeLessThanOrEqual(25);
-		expect(() => createCallBudget({clock, callsPerSecond: 3, burst: 1})).toThrow(
-			'callsPerSecond must be above 0 and at most 2',
-		);
+		expect(client.status.calls).toBe(5);
+		clock.advance(1000);
+		await until(() => client.status.calls === 6);
+	});
+
+	test('calls in any span never exceed burst plus rate, whatever asks for them', async () => {
+		const clock = createSteerableClock();
+		const budget = createCallBudget({clock, callsPerSecond: 2, burst: 5});
+		const {signal} = new AbortController();
+		let begun = 0;
+		const take = async () => {
+			await budget.take(signal);
+			begun++;
+		};
+
+		const takes = Array.from({length: 25}, take);
+		for (let halfSeconds = 0; halfSeconds <= 20; halfSeconds++) {
+			await nextTurn();
+			expect(begun).toBe(5 + halfSeconds);
+			clock.advance(500);
+		}
+
+		await Promise.all(takes);
+		for (const wrong of [{callsPerSecond: 3}, {callsPerSecond: 0}, {burst: 66}]) {
+			expect(() => createCallBudget({clock, callsPerSecond: 1, burst: 1, ...wrong})).toThrow(
+				'callsPerSecond must be above 0 and at most 2, and burst 1 to 65',
+			);
+		}
 	});
 
 	test.each([
