Refuse target addresses that cannot exist

Cause: the schema accepted addresses such as 127.0.0.256:80 and port 0. Change: IP addresses are checked by node:net and ports must be 1 to 65535.

--- a/packages/configuration/src/__tests__/parse-document.test.ts
+++ b/packages/configuration/src/__tests__/parse-document.test.ts
@@ -46,6 +46,26 @@
 		expect(problems).toContain('timeuot');
 	});
 
+	test.each([
+		['127.0.0.1:1', true],
+		['[::1]:65535', true],
+		['127.0.0.256:80', false],
+		['127.0.0.1:0', false],
+		['127.0.0.1:65536', false],
+		['[::g]:80', false],
+		['::1:80', false],
+		['[127.0.0.1]:80', false],
+		['localhost:80', false],
+	])(
+		'the address %s is accepted: %s, so that no target is listed that cannot be reached',
+		(...example) => {
+			const [address, isAccepted] = example;
+			const input = createInput();
+			input.services.roster.targets[0]!.address = address;
+			expect(problemsOf(input).length === 0).toBe(isAccepted);
+		},
+	);
+
 	test('references to missing services and failure domains are refused', () => {
 		const input = createInput();
 		input.routes[0]!.service = 'absent';
--- a/packages/configuration/src/document-schema.ts
+++ b/packages/configuration/src/document-schema.ts
@@ -2,11 +2,20 @@
  * Schema of the configuration document. The document is adopted as a whole, and unknown fields are
  * refused, so that a misspelled field never passes unnoticed. All durations are in milliseconds.
  */
+import {isIPv4, isIPv6} from 'node:net';
 import {z} from 'zod';
 
 const identifier = z
 	.string()
 	.regex(/^[a-z\d][a-z\d._-]{0,63}$/, 'must be 1 to 64 of a-z, 0-9, ".", "_" and "-"');
+const highestPort = 65_535;
+
+function isAddress(text: string): boolean {
+	const [, ipv6, ipv4, port] = /^(?:\[([^\]]+)]|([\d.]+)):(\d{1,5})$/.exec(text) ?? [];
+	const isPort = Number(port) >= 1 && Number(port) <= highestPort;
+	return isPort && (isIPv4(ipv4 ?? '') || isIPv6(ipv6 ?? ''));
+}
+
 const milliseconds = (minimum: number, maximum: number) =>
 	z.number().int().min(minimum).max(maximum);
 const longestTimeout = 3_600_000;
@@ -25,7 +34,7 @@
 const target = z.strictObject({
 	id: identifier,
 	/** `ip:port`. */
-	address: z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[\da-f:]+]):\d{1,5}$/i, 'must be ip:port'),
+	address: z.string().refine(text => isAddress(text), 'must be ip:port, with IPv6 as [ip]:port'),
 	failureDomain: identifier,
 });
 
