Add retry, hedge, crash and idempotency decisions

Cause: retries must stay within 10% of real traffic, a crashing request must reach at most two targets, and a key must not be claimed twice.

Change: add the retry budget, the retry and hedge policies, the crash registry with its guard at the entry, and the idempotency registry with its guard and handover. The schedules of the rate property test now contain changes of owner with grants at hand; before, they were too short to notice a missing wait of a new owner.

--- a/packages/policy-limits/src/__tests__/rate-invariant.test.ts
+++ b/packages/policy-limits/src/__tests__/rate-invariant.test.ts
@@ -11,18 +11,23 @@
 
 const members = 4;
 const member = fc.nat(members - 1);
-const owner = fc.option(fc.constantFrom(0, 0, 1, 2, 3), {nil: undefined, freq: 8});
+const owner: fc.Arbitrary<number | undefined> = fc.option(fc.constantFrom(0, 0, 1, 1, 2, 3), {
+	nil: undefined,
+	freq: 8,
+});
+// Mostly shorter than the term of a grant, with many close to its end.
 const pause = fc.oneof(
-	{weight: 6, arbitrary: fc.nat(20)},
-	{weight: 2, arbitrary: fc.constantFrom(95, 99, 102, 130)},
-	{weight: 2, arbitrary: fc.nat(250)},
-	{weight: 1, arbitrary: fc.integer({min: 400, max: 6000})},
+	{weight: 14, arbitrary: fc.nat(6)},
+	{weight: 3, arbitrary: fc.constantFrom(90, 99, 100, 101, 104)},
+	{weight: 1, arbitrary: fc.nat(250)},
+	{weight: 1, arbitrary: fc.integer({min: 300, max: 5000})},
 );
 const count = fc.integer({min: 1, max: 24});
 const kind = <Kind extends string>(name: Kind) => fc.constant(name);
 const weigh = <Value>(weight: number, arbitrary: fc.Arbitrary<Value>) => ({weight, arbitrary});
 const action = fc.oneof(
 	weigh(6, fc.record({kind: kind('exchange'), member, count})),
+	weigh(3, fc.record({kind: kind('take-over'), member, count, gap: fc.nat(110)})),
 	weigh(4, fc.record({kind: kind('admit'), member, count})),
 	weigh(1, fc.record({kind: kind('abandon'), member})),
 	weigh(2, fc.record({kind: kind('tick'), member})),
@@ -33,11 +38,15 @@
 	weigh(4, fc.record({kind: kind('deliver-all')})),
 	weigh(1, fc.record({kind: kind('lose'), pick: fc.nat(1000)})),
 	weigh(1, fc.record({kind: kind('move'), member, owner})),
-	weigh(1, fc.record({kind: kind('move-all'), owner})),
+	weigh(2, fc.record({kind: kind('move-all'), owner})),
 );
 type Action = typeof action extends fc.Arbitrary<infer Value> ? Value : never;
 type Kind = Action['kind'];
-const schedule = fc.array(fc.record({pause, action}), {minLength: 10, maxLength: 90});
+const schedule = fc.array(fc.record({pause, action}), {
+	minLength: 10,
+	maxLength: 60,
+	size: 'max',
+});
 
 const drift = [1, 0.995, 1.004, 1];
 type OwnerFactory = (fraction: Parameters<typeof createRateOwner>[0]['fraction']) => RateOwner;
@@ -138,6 +147,15 @@
 			perform['deliver-all']({kind: 'deliver-all'});
 			perform['deliver-all']({kind: 'deliver-all'});
 		},
+		'take-over'({member: index, count, gap}) {
+			const before = ledger.ownerOf(0) ?? index;
+			perform.exchange({kind: 'exchange', member: before, count});
+			perform['move-all']({kind: 'move-all', owner: index});
+			for (const pause of [0, gap, 10]) {
+				now += pause;
+				perform.exchange({kind: 'exchange', member: index, count});
+			}
+		},
 		use({count}) {
 			for (const held of hoard) {
 				const used = now < held.until ? Math.min(count, held.grant.count - held.used) : 0;
@@ -206,7 +224,7 @@
 }
 
 const limitsOfRuns = fc.record({
-	rate: fc.constantFrom(1, 20, 200),
+	rate: fc.constantFrom(5, 50, 500),
 	burst: fc.integer({min: 1, max: 24}),
 });
 
@@ -217,7 +235,7 @@
 			fc.property(
 				schedule,
 				limitsOfRuns,
-				fc.constantFrom(0, 0.25, 1),
+				fc.constantFrom(0, 0, 0.25, 1),
 				(steps, limits, minority) => {
 					const fleet = createFleet(limits, minority);
 					fleet.run(steps);
@@ -227,10 +245,10 @@
 					);
 				},
 			),
-			{seed: 20_261_204, numRuns: Number(env.RATE_RUNS ?? 10_000)},
+			{seed: 20_261_204, numRuns: Number(env.RATE_RUNS ?? 5000)},
 		);
 		// Guards against schedules in which nothing is ever granted.
-		expect(total).toBeGreaterThan(10_000);
+		expect(total).toBeGreaterThan(20_000);
 	});
 
 	test('the single counter breaks the bound in the same schedules, so they are strong enough', () => {
--- /dev/null
+++ b/packages/policy-requests/src/__tests__/crash.test.ts
@@ -0,0 +1,194 @@
+import {describe, expect, test} from '@jest/globals';
+import fc from 'fast-check';
+import {createSeededRandom} from '@shallotpond/kernel/random';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {createCrashGuard, type CrashCheck, type CrashTurn} from '../crash-guard.js';
+import {type CrashMessage} from '../crash-messages.js';
+import {createCrashRegistry, crashRetention} from '../crash-registry.js';
+import {createCrashTable} from '../crash-table.js';
+import {createFingerprint} from '../fingerprint.js';
+
+const members = ['a', 'b', 'c', 'd', 'e'];
+const source = {workspace: 'w', method: 'GET', path: '/x?y=1', bodyDigest: undefined};
+const fingerprint = createFingerprint(source);
+
+/** Members that reach each other; messages arrive in random order, and some of them twice. */
+function createFleet(seed: number) {
+	const random = createSeededRandom(seed);
+	const network: Array<Outbound<CrashMessage> & {from: string}> = [];
+	const settled = new Map<string, CrashTurn['settled'][number]['check']>();
+	let now = 0;
+	let messages = 0;
+	let owner: string | undefined = 'c';
+	const instances = new Map(
+		members.map(name => {
+			const table = createCrashTable(100);
+			return [
+				name,
+				{
+					guard: createCrashGuard({owner: () => owner, table}),
+					registry: createCrashRegistry({self: name, table, members: () => members}),
+				},
+			];
+		}),
+	);
+
+	function follow(name: string, turn: CrashTurn): void {
+		for (const {ticket, check} of turn.settled) {
+			settled.set(`${name}/${ticket}`, check);
+		}
+
+		push(name, turn.messages);
+	}
+
+	function push(from: string, outbound: ReadonlyArray<Outbound<CrashMessage>>): void {
+		network.push(...outbound.map(item => ({...item, from})));
+		messages += outbound.length;
+	}
+
+	function deliver(): void {
+		const index = Math.floor(random() * network.length);
+		const [{to, from, message}] = (
+			random() < 0.1 ? network.slice(index, index + 1) : network.splice(index, 1)
+		) as [(typeof network)[number]];
+		const {guard, registry} = instances.get(to)!;
+		if (message.kind === 'crash-answer' || message.kind === 'crash-notice') {
+			follow(to, guard.handle(message, from, now));
+		} else {
+			push(to, registry.handle(message, from, now));
+		}
+	}
+
+	function run(): void {
+		for (let time = 0; time < 500; time += 50) {
+			while (network.length > 0) {
+				deliver();
+			}
+
+			now += 50;
+			for (const [name, {guard, registry}] of instances) {
+				follow(name, guard.tick(now));
+				push(name, registry.tick(now));
+			}
+		}
+	}
+
+	const guardOf = (name: string) => instances.get(name)!.guard;
+
+	return {
+		run,
+		wait(pause: number) {
+			now += pause;
+		},
+		loseOwner() {
+			owner = undefined;
+		},
+		get messages() {
+			return messages;
+		},
+		/** Sends copies of a request at the same time; returns those that may go to a target. */
+		check(names: readonly string[]) {
+			const checks = names.map(name => {
+				const turn = guardOf(name).check(fingerprint, now + 400, now);
+				follow(name, turn);
+				return {name, check: turn.check};
+			});
+			run();
+			return checks.flatMap(({name, check}) => {
+				const final = (
+					check.kind === 'wait' ? settled.get(`${name}/${check.ticket}`) : check
+				) as CrashCheck;
+				return final.kind === 'allowed' ? [{name, trial: final.trial}] : [];
+			});
+		},
+		crash({name, trial}: {name: string; trial?: number}, target: string) {
+			const turn = guardOf(name).reportCrash({fingerprint, target, trial}, now);
+			follow(name, turn);
+			run();
+			return settled.get(`${name}/${turn.ticket}`);
+		},
+		finish({name, trial}: {name: string; trial?: number}, hasAnswer: boolean) {
+			follow(name, guardOf(name).finish(trial!, hasAnswer, now));
+			run();
+		},
+	};
+}
+
+describe('crashing requests', () => {
+	test('a request that breaks each connection reaches at most two targets, wherever its copies come in', () => {
+		const copies = fc.subarray(members, {minLength: 1});
+		fc.assert(
+			fc.property(fc.integer(), fc.array(copies, {minLength: 3, maxLength: 6}), (seed, rounds) => {
+				const fleet = createFleet(seed);
+				const targets = new Set<string>();
+				for (const [round, names] of rounds.entries()) {
+					// Before the first crash is known, copies at the same time are not held back.
+					const allowed = fleet.check(round === 0 ? names.slice(0, 1) : names);
+					for (const [index, attempt] of allowed.entries()) {
+						targets.add(`${round}/${index}`);
+						expect(fleet.crash(attempt, `${round}/${index}`)).toEqual({kind: 'recorded'});
+					}
+				}
+
+				expect(targets.size).toBe(2);
+			}),
+			{seed: 20_261_204, numRuns: 200},
+		);
+	});
+
+	test('an ordinary request costs no message, and an answered trial ends the suspicion', () => {
+		const fleet = createFleet(1);
+		expect(fleet.check(members)).toHaveLength(5);
+		expect(fleet.messages).toBe(0);
+		fleet.crash({name: 'a'}, 'first');
+		const [trial, ...others] = fleet.check(['b', 'd']);
+		expect(others).toEqual([]);
+		fleet.finish(trial!, true);
+		const before = fleet.messages;
+		expect(fleet.check(members)).toHaveLength(5);
+		expect(fleet.messages).toBe(before);
+	});
+
+	test('a trial that did not run frees its turn, so that the request is not refused for a minute', () => {
+		const fleet = createFleet(2);
+		fleet.crash({name: 'a'}, 'first');
+		fleet.finish(fleet.check(['b'])[0]!, false);
+		expect(fleet.check(['d'])).toHaveLength(1);
+	});
+
+	test('a refusal ends after ten minutes, and without an owner an instance still stops after two targets', () => {
+		const fleet = createFleet(3);
+		fleet.loseOwner();
+		fleet.crash({name: 'a'}, 'first');
+		expect(fleet.check(['a'])).toEqual([]);
+		fleet.crash({name: 'a'}, 'second');
+		fleet.wait(crashRetention - 2000);
+		expect(fleet.check(['a'])).toEqual([]);
+		fleet.wait(3000);
+		expect(fleet.check(['a'])).toHaveLength(1);
+	});
+
+	test('memory is bounded, and blocked fingerprints outlast a flood of suspects', () => {
+		const table = createCrashTable(10);
+		const entry = (name: string, targets: string[]) => ({
+			fingerprint: name,
+			targets,
+			until: 1000,
+			revision: 1,
+		});
+		table.store(entry('blocked', ['a', 'b']), 0);
+		for (let index = 0; index < 50; index++) {
+			table.store(entry(`suspect ${index}`, ['a']), 0);
+		}
+
+		expect(table.size).toBe(11);
+		expect(table.lookUp('blocked', 999)).toBeDefined();
+		expect(table.lookUp('blocked', 1000)).toBeUndefined();
+	});
+
+	test('fields cannot be shifted into each other to give two requests one fingerprint', () => {
+		const shifted = {...source, workspace: 'wG', method: 'ET'};
+		expect(createFingerprint(shifted)).not.toBe(fingerprint);
+		expect(createFingerprint({...source, bodyDigest: ''})).not.toBe(fingerprint);
+	});
+});
--- /dev/null
+++ b/packages/policy-requests/src/crash-messages.ts
@@ -0,0 +1,58 @@
+/**
+ * Messages of the crash registry. `id` is unique among the asks of its sender and is repeated by the
+ * answer. Every message may be lost, duplicated, delayed or reordered.
+ */
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+
+/** What is known of one fingerprint that broke a connection. */
+export type CrashRecord = {
+	readonly fingerprint: string;
+	/** At most two distinct targets. */
+	readonly targets: readonly string[];
+	/** Who tries the request on a second target now, and for how many more milliseconds this counts. */
+	readonly trial?: {readonly holder: InstanceId; readonly id: number; readonly remaining: number};
+	/** Milliseconds until the record is forgotten; 0 withdraws it. */
+	readonly remaining: number;
+	/** Grows with each change of the record; a lower one is outdated. */
+	readonly revision: number;
+};
+
+/** The end of an attempt whose fingerprint broke a connection, or was a trial. */
+export type CrashReport = {
+	readonly kind: 'crash-report';
+	readonly id: number;
+	readonly fingerprint: string;
+	/** The target whose connection broke; undefined when the trial got an answer or did not run. */
+	readonly target?: string;
+	/** `cleared` ends the suspicion, `unused` only frees the trial. */
+	readonly result: 'crashed' | 'cleared' | 'unused';
+	/** Id of the query that allowed the trial. */
+	readonly trial?: number;
+};
+
+/** May this request, which broke one connection before, be sent? */
+export type CrashQuery = {
+	readonly kind: 'crash-query';
+	readonly id: number;
+	readonly fingerprint: string;
+};
+
+export type CrashAnswer = {
+	readonly kind: 'crash-answer';
+	readonly id: number;
+	readonly fingerprint: string;
+	/** `recorded` answers a report; `busy` says that another instance tries the request now. */
+	readonly verdict: 'allowed' | 'blocked' | 'busy' | 'recorded';
+	/** Milliseconds. */
+	readonly retryAfter?: number;
+};
+
+export type CrashNotice = {
+	readonly kind: 'crash-notice';
+	readonly id: number;
+	readonly record: CrashRecord;
+};
+
+export type CrashNoticeSeen = {readonly kind: 'crash-notice-seen'; readonly id: number};
+
+export type CrashMessage = CrashReport | CrashQuery | CrashAnswer | CrashNotice | CrashNoticeSeen;
--- /dev/null
+++ b/packages/policy-requests/src/idempotency-registry.ts
@@ -0,0 +1,347 @@
+/**
+ * The owner side of idempotency keys. The majority owner of a bucket remembers every key for the
+ * retention time after its claim, in memory.
+ *
+ * Why no key is claimed twice within its retention: only a majority owner claims, there is at most
+ * one at a time, and one that has been the majority owner for less than the retention refuses keys
+ * that it does not know. A handover removes this wait: the predecessor gives its records to one
+ * successor and claims nothing more in that bucket until it has lost the majority and gained it again.
+ */
+import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
+import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {type Outbound} from '@shallotpond/kernel/outbound';
+import {type ShareSource} from '@shallotpond/policy-membership/share-fraction';
+import {bucketOf} from './fingerprint.js';
+import {
+	type IdempotencyClaim,
+	type IdempotencyHandover,
+	type IdempotencyHandoverAsk,
+	type IdempotencyMessage,
+	type IdempotencySettle,
+	type IdempotencyVerdict,
+} from './idempotency-messages.js';
+import {type RunState} from './run-state.js';
+
+export type IdempotencyOwnerMessage =
+	IdempotencyClaim | IdempotencySettle | IdempotencyHandoverAsk | IdempotencyHandover;
+
+export type IdempotencyRegistryOptions = {
+	readonly fraction: ShareSource;
+	/** What a new owner does with a key that it does not know. `accept` gives up the guarantee. */
+	readonly whenUnknown?: 'refuse' | 'accept';
+	/** Milliseconds for which a key is remembered after its claim. Requests must end sooner. */
+	readonly retention?: number;
+	/** Keys over all buckets; further keys are refused with `full`. */
+	readonly mostRecords?: number;
+};
+
+export type IdempotencyRegistry = {
+	handle(
+		message: IdempotencyOwnerMessage,
+		from: InstanceId,
+		now: number,
+	): Array<Outbound<IdempotencyMessage>>;
+	/**
+	 * Asks the predecessor to hand a bucket over. Must be called before this instance gains the
+	 * majority, while the predecessor has it.
+	 */
+	requestHandover(
+		bucket: number,
+		predecessor: InstanceId,
+		now: number,
+	): Array<Outbound<IdempotencyMessage>>;
+	readonly size: number;
+};
+
+/** Milliseconds. */
+export const idempotencyRetention = 120_000;
+
+/**
+ * Milliseconds from the ask within which a handover must arrive and the majority must follow. It is
+ * far below the retention, so no owner in between can have claimed a key that it did not know.
+ */
+export const handoverTerm = 10_000;
+
+/** Clocks of two instances may differ in speed by 1%. */
+const driftAllowance = 1.01;
+
+const noMajorityRetry = 1000;
+const fullRetry = 5000;
+
+/** Keys that one claim looks at for expiry, so that expiry costs little per request. */
+const expiriesPerClaim = 4;
+
+type KeyRecord = {
+	holder: InstanceId;
+	id: number;
+	state: RunState | 'running';
+	until: number;
+	/** The majority under which the state was last certain. */
+	tenure: number | undefined;
+};
+
+type Bucket = {
+	/** In order of expiry: a claim is put at the end. */
+	readonly records: Map<string, KeyRecord>;
+	/** `majoritySince` of the majority under which the bucket was handed over. */
+	closedTenure?: number;
+	successor?: InstanceId;
+	ask?: {readonly id: number; readonly predecessor: InstanceId; readonly askedAt: number};
+	imported?: {readonly askedAt: number; readonly knownSince: number; tenure?: number};
+};
+
+type Context = {
+	readonly from: InstanceId;
+	readonly now: number;
+};
+
+export function createIdempotencyRegistry({
+	fraction,
+	whenUnknown = 'refuse',
+	retention = idempotencyRetention,
+	mostRecords = 100_000,
+}: IdempotencyRegistryOptions): IdempotencyRegistry {
+	const buckets = new Map<number, Bucket>();
+	let size = 0;
+	let lastAsk = 0;
+
+	function bucketFor(index: number): Bucket {
+		const bucket = buckets.get(index) ?? {records: new Map<string, KeyRecord>()};
+		buckets.set(index, bucket);
+		return bucket;
+	}
+
+	function tenureOf(index: number, now: number): number | undefined {
+		const {current, majoritySince} = fraction(`idempotency:${index}`, now);
+		return current > 1 / 2 ? majoritySince : undefined;
+	}
+
+	function remove({records}: Bucket, digest: string): void {
+		if (records.delete(digest)) {
+			size--;
+		}
+	}
+
+	function put({records}: Bucket, digest: string, record: KeyRecord): void {
+		size += records.has(digest) ? 0 : 1;
+		records.delete(digest);
+		records.set(digest, record);
+	}
+
+	function expire(bucket: Bucket, now: number, most: number): void {
+		let looked = 0;
+		for (const [digest, record] of bucket.records) {
+			if (record.until > now || looked === most) {
+				return;
+			}
+
+			remove(bucket, digest);
+			looked++;
+		}
+	}
+
+	/** Since when this owner has known of every claim in the bucket. */
+	function knownSince(bucket: Bucket, tenure: number): number {
+		const {imported} = bucket;
+		if (imported === undefined) {
+			return tenure;
+		}
+
+		const isFirst = imported.tenure === undefined && tenure > imported.askedAt;
+		if (isFirst && tenure - imported.askedAt <= handoverTerm) {
+			imported.tenure = tenure;
+		}
+
+		return imported.tenure === tenure ? Math.min(tenure, imported.knownSince) : tenure;
+	}
+
+	function claim({id, digest}: IdempotencyClaim, {from, now}: Context): IdempotencyVerdict {
+		const index = bucketOf(digest);
+		const bucket = bucketFor(index);
+		const tenure = tenureOf(index, now);
+		if (tenure === undefined || bucket.closedTenure === tenure) {
+			return {kind: 'refused', reason: 'no-majority', retryAfter: noMajorityRetry};
+		}
+
+		expire(bucket, now, expiriesPerClaim);
+		const known = findRecord(bucket, digest, now);
+		const completeAt = knownSince(bucket, tenure) + retention * driftAllowance;
+		if (known?.holder === from && known.id === id) {
+			// A copy of the claim. One that was settled gets no second chance.
+			return known.state === 'running' ? {kind: 'claimed'} : duplicateOf(known.state);
+		}
+
+		if (known !== undefined && known.state !== 'not-run') {
+			return duplicateOf(known.state);
+		}
+
+		const isFree = known?.tenure === tenure;
+		if (!isFree && whenUnknown === 'refuse' && now < completeAt) {
+			return {kind: 'refused', reason: 'unknown-key', retryAfter: completeAt - now};
+		}
+
+		if (known === undefined && size >= mostRecords) {
+			expireAll(now);
+			if (size >= mostRecords) {
+				return {kind: 'refused', reason: 'full', retryAfter: fullRetry};
+			}
+		}
+
+		put(bucket, digest, {holder: from, id, state: 'running', until: now + retention, tenure});
+		return {kind: 'claimed'};
+	}
+
+	/** Cost: the records. It runs only while the registry is full. */
+	function expireAll(now: number): void {
+		for (const bucket of buckets.values()) {
+			expire(bucket, now, Number.POSITIVE_INFINITY);
+		}
+	}
+
+	const handlers: Handlers<
+		IdempotencyOwnerMessage,
+		Context,
+		Array<Outbound<IdempotencyMessage>>
+	> = {
+		'idempotency-claim'(message, context) {
+			const verdict = claim(message, context);
+			return [{to: context.from, message: {kind: 'idempotency-answer', id: message.id, verdict}}];
+		},
+		'idempotency-settle'({id, digest, state}, {from, now}) {
+			const index = bucketOf(digest);
+			const bucket = bucketFor(index);
+			const tenure = tenureOf(index, now);
+			// Without the majority the settlement belongs to another owner, to which it is sent again.
+			if (tenure === undefined || bucket.closedTenure === tenure) {
+				return [];
+			}
+
+			const record = findRecord(bucket, digest, now);
+			if (record?.holder === from && record.id === id && record.state === 'running') {
+				record.state = state;
+				// A key that was claimed under an earlier majority may since have been claimed elsewhere,
+				// so `not-run` frees it only under the same one.
+			} else if (record === undefined && size < mostRecords) {
+				// Also keeps a late copy of the claim from claiming the key again. It does not prove that the
+				// key is free, so it has no tenure.
+				const until = now + retention;
+				put(bucket, digest, {holder: from, id, state, until, tenure: undefined});
+			}
+
+			return [{to: from, message: {kind: 'idempotency-settled', id}}];
+		},
+		'idempotency-handover-ask'({id, bucket: index}, {from, now}) {
+			const bucket = bucketFor(index);
+			const tenure = tenureOf(index, now);
+			if (tenure === undefined) {
+				return [];
+			}
+
+			if (bucket.closedTenure === tenure && bucket.successor !== from) {
+				return [];
+			}
+
+			const message = exportBucket(bucket, {id, index, since: knownSince(bucket, tenure), now});
+			bucket.closedTenure = tenure;
+			bucket.successor = from;
+			return [{to: from, message}];
+		},
+		'idempotency-handover'({id, bucket: index, knownFor, records}, {from, now}) {
+			const bucket = bucketFor(index);
+			const {ask} = bucket;
+			const isExpected = ask?.id === id && ask.predecessor === from;
+			if (!isExpected || now - ask.askedAt > handoverTerm) {
+				return [];
+			}
+
+			bucket.ask = undefined;
+			// When not all records fit, the import is dropped and the ordinary wait applies.
+			if (size - bucket.records.size + records.length > mostRecords) {
+				return [];
+			}
+
+			importRecords(bucket, {records, askedAt: ask.askedAt, tenure: tenureOf(index, now)});
+			bucket.imported = {askedAt: ask.askedAt, knownSince: now - knownFor};
+			return [];
+		},
+	};
+
+	/** Replaces what is known of the bucket, except what was claimed under the present majority. */
+	function importRecords(
+		bucket: Bucket,
+		{
+			records,
+			askedAt,
+			tenure,
+		}: {
+			readonly records: IdempotencyHandover['records'];
+			readonly askedAt: number;
+			readonly tenure: number | undefined;
+		},
+	): void {
+		for (const [digest, record] of bucket.records) {
+			if (record.tenure === undefined || record.tenure !== tenure) {
+				remove(bucket, digest);
+			}
+		}
+
+		for (const {digest, holder, id, state, remaining} of records) {
+			if (!bucket.records.has(digest)) {
+				// The predecessor counted `remaining` after the ask, so the handover term covers the delay.
+				const until = askedAt + handoverTerm + remaining;
+				put(bucket, digest, {holder, id, state, until, tenure: undefined});
+			}
+		}
+	}
+
+	return {
+		handle: (message, from, now) => dispatch(handlers, message, {from, now}),
+		requestHandover(index, predecessor, now) {
+			const id = ++lastAsk;
+			bucketFor(index).ask = {id, predecessor, askedAt: now};
+			return [{to: predecessor, message: {kind: 'idempotency-handover-ask', id, bucket: index}}];
+		},
+		get size() {
+			return size;
+		},
+	};
+}
+
+function findRecord(bucket: Bucket, digest: string, now: number): KeyRecord | undefined {
+	const record = bucket.records.get(digest);
+	return record !== undefined && record.until > now ? record : undefined;
+}
+
+function duplicateOf(state: RunState | 'running'): IdempotencyVerdict {
+	return {kind: 'duplicate', state: state === 'ran' ? 'ran' : 'may-have-run'};
+}
+
+function exportBucket(
+	bucket: Bucket,
+	{
+		id,
+		index,
+		since,
+		now,
+	}: {
+		readonly id: number;
+		readonly index: number;
+		readonly since: number;
+		readonly now: number;
+	},
+): IdempotencyHandover {
+	const records = [...bucket.records].map(([digest, record]) => ({
+		digest,
+		holder: record.holder,
+		id: record.id,
+		state: record.state,
+		remaining: record.until - now,
+	}));
+	return {
+		kind: 'idempotency-handover',
+		id,
+		bucket: index,
+		knownFor: now - since,
+		records: records.filter(record => record.remaining > 0),
+	};
+}
