--- a/packages/policy-dispatch/src/__tests__/target-health.test.ts
+++ b/packages/policy-dispatch/src/__tests__/target-health.test.ts
@@ -41,6 +41,22 @@
 		},
 	);
 
+	test('a service that slows down five times or fails as a whole keeps its targets', () => {
+		for (const [seed, targets] of [
+			[1, 15],
+			[2, 15],
+			[3, 4],
+			[4, 4],
+		] as const) {
+			const answer = (_target: number, _holder: number, now: number, random: Random): Answer => {
+				const usual = ordinary(random, now > 20_000 ? 200 : 40);
+				return now > 200_000 && random() < 0.5 ? {...usual, result: 'error'} : usual;
+			};
+
+			expect(ejections(runTrial({seed, targets, seconds: 300, rate: 20, answer}))).toEqual([]);
+		}
+	});
+
 	test('failures that one holder alone sees are a path fault and eject nothing', () => {
 		const answer = (target: number, holder: number, _now: number, random: Random): Answer =>
 			target === 2 && holder === 0 ? {latency: 5, result: 'connection-failed'} : ordinary(random);
--- a/packages/policy-dispatch/src/slot-holder.ts
+++ b/packages/policy-dispatch/src/slot-holder.ts
@@ -2,7 +2,7 @@
  * The entry side of slots: asks the coordinators of a service for slots, renews the grants of
  * requests that run, and says when a grant has run out, so that its request is cancelled. The term
  * of a grant counts from when this instance asked, so it ends here before it ends at the
- * coordinator. Operators of this object must call `tick` about every 100 ms.
+ * coordinator. Call `tick` about every 100 ms.
  */
 import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
@@ -40,7 +40,10 @@
 	readonly definition: DispatchTarget;
 	/** Whether the connection may stay open after the answer, for `connectionIdle` milliseconds. */
 	readonly keepConnection: boolean;
-	/** Monotonic milliseconds; moves on with each renewal. */
+	/**
+	 * Monotonic milliseconds; moves on with each renewal. A paused process cannot cancel its request,
+	 * so a request that is expected to end before should carry this time to the target as deadline.
+	 */
 	readonly expiresAt: number;
 };
 
