Write to a target only over a connection that stands, and pin the rest of a download

Cause: a large body counted as begun before its connection stood, so a refused connection ended the request; a burst could open more connections than a target allows; a retry after a silent try was charged twice; a chunked 206 answer could be shorter or longer than its range. Change: the body is sent once the connection can carry bytes; connections are reserved before they open; a retry is paid once; a resumed body must have exactly the bytes of its range.

--- a/packages/io-http/src/__tests__/caller-key.test.ts
+++ b/packages/io-http/src/__tests__/caller-key.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
 import {containsKey, findCallerKey, removeKeyParameter} from '../caller-key.js';
 import {createFixture, key, otherKey, problemOf, send, sendRaw, type Fixture} from './support.js';
@@ -77,6 +78,20 @@
 	expect(fixture.received()[0]!.body).toHaveLength(8 * 0x80_00);
 });
 
+test('credential headers go in every form, also where they do not show the key', async () => {
+	const hidden = Buffer.from(`reed:${key}`).toString('base64');
+	await send(fixture, {
+		headers: {
+			'x-api-key': key,
+			authorization: `Basic ${hidden}`,
+			'proxy-authorization': `Basic ${hidden}`,
+			...Object.fromEntries([['x_api_key', hidden]]),
+		},
+	});
+	expect(fixture.target.everything()).not.toContain(hidden);
+	expect(fixture.received()).toHaveLength(1);
+});
+
 test('a key in the path or in another parameter is refused, since it cannot be removed', async () => {
 	for (const path of [`/a/${key}`, `/a?b=${key}`, `/a?b=${encodedKey}`]) {
 		expect(problemOf(await send(fixture, {path}))).toEqual({
--- a/packages/io-http/src/__tests__/caller-listener.test.ts
+++ b/packages/io-http/src/__tests__/caller-listener.test.ts
@@ -1,5 +1,17 @@
 import {afterEach, expect, test} from '@jest/globals';
-import {createFixture, key, problemOf, send, type Fixture, type FixtureOptions} from './support.js';
+import {type Refusal} from '../request-policy.js';
+import {type RequestTracer} from '../request-tracer.js';
+import {
+	createFixture,
+	key,
+	otherKey,
+	problemOf,
+	send,
+	sendRaw,
+	until,
+	type Fixture,
+	type FixtureOptions,
+} from './support.js';
 
 let fixture: Fixture;
 
@@ -42,3 +54,101 @@
 	expect(problemOf(answer)).toEqual({code: 'unknown-key', outcome: 'not-run'});
 	expect(fixture.received()).toHaveLength(0);
 });
+
+test('an instance that cannot verify keys refuses keyed routes and serves open ones', async () => {
+	const routes = [
+		{id: 'keyed', pathPrefix: '/', service: 'roster'},
+		{id: 'stubborn', pathPrefix: '/stubborn', service: 'roster', onIsolation: 'serve'},
+		{id: 'open', pathPrefix: '/open', service: 'roster', open: true},
+	];
+	await start({routes, policy: {isIsolated: () => true}});
+	const answer = await send(fixture, {path: '/'});
+	expect(answer).toMatchObject({status: 503, headers: {'retry-after': '1'}});
+	expect(problemOf(answer)).toEqual({code: 'isolated', outcome: 'not-run'});
+	expect(await send(fixture, {path: '/stubborn'})).toMatchObject({status: 200});
+	expect(await send(fixture, {path: '/open', headers: {}})).toMatchObject({status: 200});
+	fixture.state.tables = undefined;
+	expect(problemOf(await send(fixture))).toEqual({code: 'not-ready', outcome: 'not-run'});
+});
+
+test('refusals of the policies reach the caller with their code, and nothing reaches a target', async () => {
+	const refuse = (code: string): Refusal => ({
+		kind: 'refused',
+		code,
+		status: 429,
+		detail: 'No more',
+		runState: 'not-run',
+		retryAfter: 1200,
+	});
+	await start({
+		policy: {
+			admit: async ({workspace}) =>
+				workspace === 'moss' ? refuse('rate-exceeded') : {kind: 'admitted'},
+			claimIdempotencyKey: async () => refuse('duplicate-key'),
+			checkFingerprint: async () => refuse('crashes-targets'),
+		},
+	});
+	const refused = await send(fixture, {headers: {'x-api-key': otherKey}});
+	expect(refused).toMatchObject({status: 429, headers: {'retry-after': '2'}});
+	expect(problemOf(refused)).toEqual({code: 'rate-exceeded', outcome: 'not-run'});
+	expect(problemOf(await send(fixture)).code).toBe('crashes-targets');
+	Object.assign(fixture.policy, {checkFingerprint: async () => undefined});
+	const headers = {'x-api-key': key, 'idempotency-key': 'a'};
+	expect(problemOf(await send(fixture, {method: 'POST', headers})).code).toBe('duplicate-key');
+	expect(fixture.received()).toHaveLength(0);
+});
+
+test('each hop has a span, and the target gets the trace of its attempt', async () => {
+	const spans: string[] = [];
+	const tracer: RequestTracer = {
+		startRequest: ({method, route, traceparent}) => ({
+			startHop: name => ({
+				traceparent: `trace-of-${name}`,
+				end: result => void spans.push(`${name} ${result}`),
+			}),
+			end: status => void spans.push(`${method} ${route} ${traceparent!} ${status}`),
+		}),
+	};
+	await start({listener: {tracer}});
+	fixture.target.behave({kind: 'crash'});
+	const headers = {'x-api-key': key, traceparent: 'of-caller'};
+	const answer = await send(fixture, {headers});
+	expect(answer.body).toContain('trace-of-attempt');
+	expect(answer.body).not.toContain('of-caller');
+	await until(() => spans.length === 6);
+	expect(spans).toEqual([
+		'admit admitted',
+		'queue ok',
+		'attempt connection-broken',
+		'queue ok',
+		'attempt delivered',
+		'GET main of-caller 200',
+	]);
+});
+
+test('a body behind Expect: 100-continue is asked for only when it is wanted', async () => {
+	await start();
+	const headers = {'x-api-key': key, expect: '100-continue'};
+	const wanted = await send(fixture, {method: 'POST', headers, body: 'swap'});
+	expect(JSON.parse(wanted.body)).toMatchObject({body: 'swap'});
+	const text = await sendRaw(
+		fixture,
+		'POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 100000\r\n\r\n',
+	);
+	expect(text).toMatch(/^HTTP\/1\.1 401 /);
+});
+
+test('an error inside the instance is reported and does not claim that nothing ran', async () => {
+	await start({
+		policy: {
+			async admit() {
+				throw new Error('broken policy');
+			},
+		},
+	});
+	expect(problemOf(await send(fixture))).toEqual({
+		code: 'internal-error',
+		outcome: 'may-have-run',
+	});
+	expect(fixture.state.internalErrors.splice(0)).toHaveLength(1);
+});
--- a/packages/io-http/src/answer-checks.ts
+++ b/packages/io-http/src/answer-checks.ts
@@ -95,27 +95,30 @@
 	return {etag, total: contentLengthOf(answer)};
 }
 
-/** Whether a 206 answer continues the download at exactly the byte `received`. */
-export function continuesDownload(
+/**
+ * Bytes of the rest, where a 206 answer continues the download at exactly the byte `received`;
+ * undefined where it does not.
+ */
+export function readRest(
 	answer: IncomingMessage,
 	download: Download,
 	received: number,
-): boolean {
+): number | undefined {
 	const range = /^bytes (?<first>\d{1,15})-(?<last>\d{1,15})\/(?<total>\d{1,15})$/.exec(
 		answer.headers['content-range'] ?? '',
 	)?.groups;
 	if (answer.statusCode !== 206 || answer.headers.etag !== download.etag || range === undefined) {
-		return false;
+		return undefined;
 	}
 
 	const first = Number(range.first);
 	const last = Number(range.last);
 	const total = Number(range.total);
 	const length = contentLengthOf(answer);
-	return (
+	const isRest =
 		first === received &&
 		last === total - 1 &&
 		total === (download.total ?? total) &&
-		(length === undefined || length === total - first)
-	);
+		(length === undefined || length === total - first);
+	return isRest ? total - first : undefined;
 }
--- a/packages/io-http/src/answer-pump.ts
+++ b/packages/io-http/src/answer-pump.ts
@@ -31,6 +31,8 @@
 	readonly holdBytes: number;
 	/** Smallest complete body, bytes. */
 	readonly smallestBody: number;
+	/** Bytes that the body must have where its framing may say otherwise; undefined for any. */
+	readonly exactBytes: number | undefined;
 	/** Longest silence of the target, milliseconds. */
 	readonly stallTimeout: number;
 	/** Longest time in which the caller takes nothing, milliseconds. */
@@ -46,7 +48,7 @@
 
 /** Never rejects. Leaves the answer to be destroyed by the caller of this function. */
 export async function pumpAnswer(options: PumpOptions): Promise<PumpResult> {
-	const {clock, answer, response} = options;
+	const {clock, answer, response, exactBytes = Infinity} = options;
 	return new Promise(resolve => {
 		const held: Uint8Array[] = [];
 		let heldBytes = 0;
@@ -97,6 +99,11 @@
 
 		function receive(chunk: Uint8Array): void {
 			targetTimer.touch();
+			if (passedOn + chunk.length > exactBytes) {
+				finish('cut');
+				return;
+			}
+
 			if (hasBegun) {
 				passOn(chunk);
 				return;
@@ -130,7 +137,7 @@
 				begin();
 			}
 
-			finish('complete');
+			finish(passedOn < (options.exactBytes ?? 0) ? 'cut' : 'complete');
 		}
 
 		function cut(): void {
--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -55,7 +55,7 @@
 	destroy(): void;
 };
 
-/** Makes a connection count as written to from the moment at which it can carry bytes. */
+/** Calls back when the connection can carry bytes, TLS included. */
 function watchConnection(
 	request: http.ClientRequest,
 	socket: Socket,
@@ -74,10 +74,12 @@
 	options: AttemptOptions,
 ): Promise<AttemptFailure | AttemptAnswer> {
 	const {clock, connections, target, service, body} = options;
-	if (!connections.hasRoom(target, service)) {
+	const reservation = connections.reserve(target, service, options.idleLimit);
+	if (reservation === undefined) {
 		return {kind: 'failed', result: 'connection-failed', wasWritten: false};
 	}
 
+	const {use, cancel} = reservation;
 	return new Promise(resolve => {
 		let isSettled = false;
 		let wasWritten = false;
@@ -109,6 +111,7 @@
 			}
 
 			isSettled = true;
+			cancel();
 			cancelConnectTimer();
 			cancelSoftTimer();
 			cancelHardTimer();
@@ -131,11 +134,19 @@
 			fail(wasWritten ? 'connection-broken' : 'connection-failed');
 		}
 
-		request.on('socket', socket => {
-			connections.register(socket, target, options.idleLimit);
-			watchConnection(request, socket, service.tls, () => {
+		/** The head goes out with the body, so nothing is written before the connection stands. */
+		function send(): void {
+			if (!isSettled) {
 				wasWritten = true;
-			});
+				body.sendTo(request, bodyFailure => {
+					fail('cancelled', bodyFailure);
+				});
+			}
+		}
+
+		request.on('socket', socket => {
+			use(socket);
+			watchConnection(request, socket, service.tls, send);
 		});
 		request.on('error', failBroken);
 		request.on('close', failBroken);
@@ -155,10 +166,5 @@
 		stopListening = onAbort(options.signals, () => {
 			fail('cancelled');
 		});
-		if (!isSettled) {
-			body.sendTo(request, bodyFailure => {
-				fail('cancelled', bodyFailure);
-			});
-		}
 	});
 }
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -153,6 +153,11 @@
 	}
 
 	function finish(request: IncomingMessage, response: ServerResponse, result: ForwardResult): void {
+		if (response.destroyed) {
+			// The caller is gone; there is nobody to tell.
+			return;
+		}
+
 		if (result.kind === 'problem') {
 			answerProblem(request, response, result.problem);
 		} else if (result.kind === 'reset') {
--- a/packages/io-http/src/forwarded-headers.ts
+++ b/packages/io-http/src/forwarded-headers.ts
@@ -12,7 +12,6 @@
 	'content-length',
 	'keep-alive',
 	'proxy-authenticate',
-	'proxy-authorization',
 	'proxy-connection',
 	'te',
 	'trailer',
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -8,11 +8,11 @@
 import {type RouteDefinition} from '@shallotpond/configuration/document-schema';
 import {
 	contentLengthOf,
-	continuesDownload,
 	hasBody,
 	hasExpectedType,
 	isFramed,
 	readDownload,
+	readRest,
 	readShed,
 	smallestBodyOf,
 	type Download,
@@ -102,6 +102,8 @@
 	readonly triedTargets: string[];
 	readonly triedDomains: string[];
 	deadline: number;
+	/** Whether the budget was charged when the last try was given up early. */
+	isRetryPaid: boolean;
 	hasBegun: boolean;
 	/** Bytes passed on to the caller. */
 	received: number;
@@ -205,6 +207,20 @@
 		);
 	}
 
+	/** Takes one retry from the budget, unless it was taken when the last try was given up. */
+	function payRetry(progress: Progress): boolean {
+		const isPaid = progress.isRetryPaid || policy.takeRetry();
+		progress.isRetryPaid = false;
+		return isPaid;
+	}
+
+	/** Whether a try that has been silent for its share of the time makes room for another. */
+	function mayGiveUp(request: ForwardedRequest, progress: Progress): boolean {
+		progress.isRetryPaid =
+			isIdempotent(request) && hasAttemptsLeft(request, progress) && policy.takeRetry();
+		return progress.isRetryPaid;
+	}
+
 	/** Connections that failed put no load on a target, so their retries cost no budget. */
 	function mayRetry(request: ForwardedRequest, progress: Progress, setback: Setback): boolean {
 		const isSafe = isIdempotent(request) || setback.runState === 'not-run';
@@ -212,7 +228,7 @@
 			return false;
 		}
 
-		return setback.code === 'target-unreachable' || policy.takeRetry();
+		return setback.code === 'target-unreachable' || payRetry(progress);
 	}
 
 	function beginAnswer(request: ForwardedRequest, answer: IncomingMessage): void {
@@ -253,7 +269,7 @@
 		const isUsable =
 			download === undefined
 				? isFramed(request.method, answer) && hasExpectedType(request.route, answer)
-				: isFramed(request.method, answer) && continuesDownload(answer, download, received);
+				: isFramed(request.method, answer) && readRest(answer, download, received) !== undefined;
 		return isUsable
 			? undefined
 			: {
@@ -275,6 +291,7 @@
 			length === undefined
 				? Math.max(1, smallestBody)
 				: Math.max(1, Math.min(length, limits.heldAnswerBytes));
+		const {download, received} = progress;
 		const result = await pumpAnswer({
 			clock,
 			answer,
@@ -290,6 +307,7 @@
 			},
 			holdBytes: progress.hasBegun ? 0 : holdBytes,
 			smallestBody,
+			exactBytes: download === undefined ? undefined : readRest(answer, download, received),
 			stallTimeout: route.stallTimeout,
 			callerStallTimeout: limits.callerStallTimeout,
 			signals: [request.cancellation.signal, grant.signal],
@@ -357,8 +375,7 @@
 			connectTimeout: limits.connectTimeout,
 			softTimeout: timeLeft * limits.attemptShare,
 			hardTimeout: timeLeft,
-			mayGiveUp: () =>
-				isIdempotent(request) && hasAttemptsLeft(request, progress) && policy.takeRetry(),
+			mayGiveUp: () => mayGiveUp(request, progress),
 			signals: [request.cancellation.signal, grant.signal],
 		});
 
@@ -451,7 +468,7 @@
 
 		// The head has come, so the deadline for it says nothing about the rest of the body.
 		progress.deadline = clock.monotonic() + request.route.timeout;
-		if (!hasAttemptsLeft(request, progress) || !policy.takeRetry()) {
+		if (!hasAttemptsLeft(request, progress) || !payRetry(progress)) {
 			return false;
 		}
 
@@ -490,6 +507,7 @@
 				triedTargets: [],
 				triedDomains: [],
 				deadline: request.deadline,
+				isRetryPaid: false,
 				hasBegun: false,
 				received: 0,
 				download: undefined,
--- a/packages/io-http/src/request-checks.ts
+++ b/packages/io-http/src/request-checks.ts
@@ -50,7 +50,7 @@
 }
 
 function decodePath(path: string): string | undefined {
-	if (!pathPattern.test(path) || badPercent.test(path) || encodedSeparator.test(path)) {
+	if (!pathPattern.test(path) || encodedSeparator.test(path)) {
 		return undefined;
 	}
 
--- a/packages/io-http/src/target-connections.ts
+++ b/packages/io-http/src/target-connections.ts
@@ -28,13 +28,25 @@
 
 export type TargetAddress = {readonly host: string; readonly port: number};
 
+export type ConnectionReservation = {
+	/** The request got this connection. */
+	use(socket: Socket): void;
+	/** Gives the room back where no connection was used; does nothing otherwise. */
+	cancel(): void;
+};
+
 export type TargetConnections = {
 	/** Agent for the target, and the options that every request to it needs. */
 	optionsFor(target: TargetDefinition, service: ServiceDefinition): http.RequestOptions;
-	/** Whether another connection stays within the limit of the target. */
-	hasRoom(target: TargetDefinition, service: ServiceDefinition): boolean;
-	/** Marks a connection with the number of idle ones that its target may have from here. */
-	register(socket: Socket, target: TargetDefinition, idleLimit: number): void;
+	/**
+	 * Room for one more request at the target; undefined where it would need a connection above the
+	 * limit of the target. `idleLimit` is the number of idle connections that may stay.
+	 */
+	reserve(
+		target: TargetDefinition,
+		service: ServiceDefinition,
+		idleLimit: number,
+	): ConnectionReservation | undefined;
 	/** Closes the idle connections to the target, for example after one went silent. */
 	discardIdle(target: TargetDefinition): void;
 	/** Connections to the target, idle and in use. */
@@ -67,6 +79,8 @@
 	const {limits, counters, tls = {}} = options;
 	const registrations = new WeakMap<Duplex, Registration>();
 	const socketsByAddress = new Map<string, Set<Socket>>();
+	/** Requests that have no connection yet. */
+	const pendingByAddress = new Map<string, number>();
 	const idleByAddress = new Map<string, Set<Duplex>>();
 
 	function setIdle(socket: Duplex, isIdle: boolean): void {
@@ -147,6 +161,34 @@
 		}
 	}
 
+	function setPending(address: string, change: number): void {
+		const pending = (pendingByAddress.get(address) ?? 0) + change;
+		if (pending === 0) {
+			pendingByAddress.delete(address);
+		} else {
+			pendingByAddress.set(address, pending);
+		}
+	}
+
+	function register(socket: Socket, registration: Registration): void {
+		const {address} = registration;
+		const isKnown = registrations.has(socket);
+		registrations.set(socket, registration);
+		if (isKnown) {
+			return;
+		}
+
+		const sockets = socketsByAddress.get(address) ?? new Set();
+		socketsByAddress.set(address, sockets.add(socket));
+		socket.once('close', () => {
+			setIdle(socket, false);
+			sockets.delete(socket);
+			if (sockets.size === 0 && socketsByAddress.get(address) === sockets) {
+				socketsByAddress.delete(address);
+			}
+		});
+	}
+
 	const agentOptions: http.AgentOptions = {
 		keepAlive: true,
 		// The most recently used connection is the least likely to have been closed by the target.
@@ -167,33 +209,36 @@
 				host,
 				port,
 				agent: service.tls ? secureAgent : plainAgent,
-				// Without this, Node would verify the certificate against the caller's Host header.
+				// Node must not take the name to verify from a Host header, which the caller chooses.
 				...(service.tls ? {servername: '', protocol: 'https:'} : {}),
 				maxHeaderSize: limits.answerHeaderBytes,
 			};
 		},
-		hasRoom(target, service) {
-			const idle = idleByAddress.get(target.address)?.size ?? 0;
-			const open = socketsByAddress.get(target.address)?.size ?? 0;
-			return idle > 0 || open < service.connections;
-		},
-		register(socket, target, idleLimit) {
+		reserve(target, service, idleLimit) {
 			const {address} = target;
-			const isKnown = registrations.has(socket);
-			registrations.set(socket, {address, idleLimit});
-			if (isKnown) {
-				return;
+			const pending = pendingByAddress.get(address) ?? 0;
+			const idle = idleByAddress.get(address)?.size ?? 0;
+			const open = socketsByAddress.get(address)?.size ?? 0;
+			if (open - idle + pending >= service.connections) {
+				return undefined;
 			}
 
-			const sockets = socketsByAddress.get(address) ?? new Set();
-			socketsByAddress.set(address, sockets.add(socket));
-			socket.once('close', () => {
-				setIdle(socket, false);
-				sockets.delete(socket);
-				if (sockets.size === 0 && socketsByAddress.get(address) === sockets) {
-					socketsByAddress.delete(address);
+			let isPending = true;
+			setPending(address, 1);
+			function settle(): void {
+				if (isPending) {
+					isPending = false;
+					setPending(address, -1);
 				}
-			});
+			}
+
+			return {
+				use(socket) {
+					settle();
+					register(socket, {address, idleLimit});
+				},
+				cancel: settle,
+			};
 		},
 		discardIdle(target) {
 			for (const socket of idleByAddress.get(target.address) ?? []) {
