--- /dev/null
+++ b/packages/policy-limits/src/__tests__/rate-owner.test.ts
@@ -0,0 +1,102 @@
+import {describe, expect, test} from '@jest/globals';
+import {type ShareFraction} from '@shallotpond/policy-membership/share-fraction';
+import {createRateOwner} from '../rate-owner.js';
+import {type WorkspaceLimits} from '../workspace-limits.js';
+
+const majority: ShareFraction = {current: 1, vested: 1, majoritySince: 0};
+const half: ShareFraction = {current: 0.5, vested: 0.5, majoritySince: undefined};
+
+function createSubject(limits: WorkspaceLimits | undefined, start: ShareFraction = majority) {
+	/** A fraction above one half gives everything, smaller ones give their part. */
+	const minorityFraction = start === majority ? 0 : 1;
+	const subject = {fraction: start, limits};
+	let lastId = 0;
+	const owner = createRateOwner({
+		fraction: () => subject.fraction,
+		limits: () => subject.limits,
+		minorityFraction: () => minorityFraction,
+	});
+	return Object.assign(subject, {
+		/** Tokens granted to a new requester. */
+		ask(count: number, now: number, id = ++lastId, from = `requester ${id}`) {
+			const ask = {kind: 'token-ask', id, workspace: 'w', count, waited: 0} as const;
+			const answers = owner.handle(ask, from, now).filter(answer => answer.to === from);
+			const [message] = answers.map(answer => answer.message);
+			return message?.kind === 'token-grant' ? message.count : 0;
+		},
+		giveBack(id: number, used: number, returned: number, now: number) {
+			const message = {kind: 'token-return', id, workspace: 'w', used, returned} as const;
+			owner.handle(message, `requester ${id}`, now);
+		},
+	});
+}
+
+describe('rate owner', () => {
+	test('a grant blocks its tokens 1% longer than its term, because the clock of its holder may be slow', () => {
+		const subject = createSubject({rate: 100_000, burst: 10});
+		expect(subject.ask(10, 1000)).toBe(10);
+		expect(subject.ask(10, 1100.9)).toBe(0);
+		expect(subject.ask(10, 1102, 2)).toBe(10);
+	});
+
+	test('a part of the capacity that is new starts empty, whatever time has passed', () => {
+		const subject = createSubject({rate: 100, burst: 100}, {...majority, vested: 0.6});
+		expect(subject.ask(1, 3000)).toBe(1);
+		subject.fraction = majority;
+		expect(subject.ask(100, 3900)).toBe(60);
+	});
+
+	test('a copy of an ask gets the same answer and takes no further tokens', () => {
+		const subject = createSubject({rate: 0.001, burst: 10});
+		expect(subject.ask(4, 1e8, 1)).toBe(4);
+		expect(subject.ask(4, 1e8, 1)).toBe(4);
+		expect(subject.ask(10, 1e8, 2)).toBe(6);
+	});
+
+	test('a copy of a return gives no tokens back twice', () => {
+		for (const [rate, expected] of [
+			[0.001, 2],
+			[100_000, 6],
+		] as const) {
+			const subject = createSubject({rate, burst: 10});
+			subject.ask(10, 1e8, 1);
+			subject.giveBack(1, 4, 2, 1e8 + 1);
+			subject.giveBack(1, 4, 2, 1e8 + 2);
+			expect(subject.ask(10, 1e8 + 50, 2)).toBe(expected);
+		}
+	});
+
+	test('a new majority starts empty, because its shares may have been elsewhere in between', () => {
+		const subject = createSubject({rate: 100, burst: 10}, half);
+		for (const now of [5000, 5050, 6000]) {
+			subject.ask(0.1, now, 1, 'known');
+		}
+
+		subject.limits = {rate: 0.001, burst: 10};
+		subject.fraction = {...majority, majoritySince: 6500, vested: 0};
+		expect(subject.ask(10, 6700)).toBe(0);
+	});
+
+	test('minorities round their tokens down, so that two halves of an odd burst do not exceed it', () => {
+		const subject = createSubject({rate: 100, burst: 3}, half);
+		expect(subject.ask(3, 5000)).toBe(0);
+		expect(subject.ask(3, 6000)).toBe(0);
+		expect(subject.ask(3, 9000)).toBe(1);
+	});
+
+	test('nothing fills during a time for which the shares are not proved', () => {
+		const subject = createSubject({rate: 100, burst: 10}, half);
+		subject.ask(10, 5000);
+		subject.ask(10, 5500);
+		expect(subject.ask(10, 20_000)).toBe(0);
+	});
+
+	test('a workspace without limits is refused, and one that comes back finds no full bucket', () => {
+		const subject = createSubject({rate: 0.001, burst: 10});
+		expect(subject.ask(10, 1e8)).toBe(10);
+		subject.limits = undefined;
+		expect(subject.ask(10, 1e8 + 50)).toBe(0);
+		subject.limits = {rate: 0.001, burst: 10};
+		expect(subject.ask(10, 1e8 + 500)).toBe(0);
+	});
+});
--- a/packages/policy-limits/src/rate-owner.ts
+++ b/packages/policy-limits/src/rate-owner.ts
@@ -77,7 +77,8 @@
 };
 
 export function createRateOwner(options: RateOwnerOptions): RateOwner {
-	// At most one account per configured workspace.
+	// At most one per workspace that was configured since the start. They outlive a removal, because
+	// a workspace that comes back must not find a full bucket.
 	const accounts = new Map<string, Account>();
 	const queuedWorkspaces = new Set<string>();
 
@@ -125,7 +126,6 @@
 		'token-ask'(message, {from, now}) {
 			const limits = options.limits(message.workspace);
 			if (limits === undefined) {
-				accounts.delete(message.workspace);
 				return [refusal(message, from, unknownRetry)];
 			}
 
@@ -156,7 +156,6 @@
 			return [...queuedWorkspaces].flatMap(workspace => {
 				const limits = options.limits(workspace);
 				if (limits === undefined) {
-					accounts.delete(workspace);
 					queuedWorkspaces.delete(workspace);
 					return [];
 				}
