Connect idempotency keys, the crash registry and the retry budget to the request path

Cause: the daemon refused idempotency keys and forgot requests that crash targets. A process that wakes from a pause could write a request under a grant or claim that had run out, because its timers run after its sockets. Change: requests-service runs the registries and fetches the keys of an instance that stops; each attempt needs a clearance; the first byte is written only while key, target, grant and claim are in force by the clock. The instance list is read every second by the watchers only, which announce its digest to the others (24 reads/s at 48 instances would have been above 1% of the service). With the check before the first byte removed, the new test fails; with it, 38 of 38 pass.

--- a/packages/io-http/src/__tests__/at-most-once.test.ts
+++ b/packages/io-http/src/__tests__/at-most-once.test.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import {createServer, type AddressInfo} from 'node:net';
 import {afterEach, expect, test} from '@jest/globals';
+import {type RequestPolicy} from '../request-policy.js';
 import {type TargetBehaviour} from '@shallotpond/testkit/stand-in-target';
 import {
 	createFixture,
@@ -273,6 +274,7 @@
 		policy: {
 			claimIdempotencyKey: async request => ({
 				kind: 'claimed',
+				startBefore: Number.POSITIVE_INFINITY,
 				settle: state => void settled.push(`${request.key} ${state}`),
 			}),
 		},
@@ -344,3 +346,40 @@
 	expect(problemOf(await answer)).toEqual({code: 'cancelled', outcome: 'may-have-run'});
 	expect(fixture.received()).toHaveLength(1);
 });
+
+test('a claim or a grant that ran out during a pause writes no byte to its target', async () => {
+	await start();
+	const policy = fixture.policy as {
+		claimIdempotencyKey: RequestPolicy['claimIdempotencyKey'];
+		acquireSlot: RequestPolicy['acquireSlot'];
+	};
+	const settled: string[] = [];
+	policy.claimIdempotencyKey = async () => ({
+		kind: 'claimed',
+		startBefore: 0,
+		settle: state => void settled.push(state),
+	});
+	const headers = {'x-api-key': key, 'idempotency-key': 'late'};
+	const late = await send(fixture, {method: 'POST', headers});
+	expect(problemOf(late).outcome).toBe('not-run');
+	expect(settled).toEqual(['not-run']);
+
+	const {acquireSlot} = policy;
+	let isFirst = true;
+	policy.acquireSlot = async request => {
+		const grant = await acquireSlot(request);
+		if (grant.kind === 'refused') {
+			return grant;
+		}
+
+		// In force when it is granted and checked, and out of force when the first byte is due.
+		let checks = isFirst ? 0 : Number.NEGATIVE_INFINITY;
+		isFirst = false;
+		return {...grant, isInForce: () => ++checks < 2};
+	};
+	expect(fixture.received()).toHaveLength(0);
+	const retried = await send(fixture, {method: 'POST', headers: {'x-api-key': key}});
+	expect(retried.status).toBe(200);
+	expect(fixture.state.outcomes.map(({result}) => result).slice(-2)).toEqual(['cancelled', 'ok']);
+	expect(fixture.received()).toHaveLength(1);
+});
--- a/packages/io-http/src/__tests__/caller-listener.test.ts
+++ b/packages/io-http/src/__tests__/caller-listener.test.ts
@@ -85,14 +85,13 @@
 			admit: async ({workspace}) =>
 				workspace === 'moss' ? refuse('rate-exceeded') : {kind: 'admitted'},
 			claimIdempotencyKey: async () => refuse('duplicate-key'),
-			checkFingerprint: async () => refuse('crashes-targets'),
+			clearFingerprint: async () => refuse('crashes-targets'),
 		},
 	});
 	const refused = await send(fixture, {headers: {'x-api-key': otherKey}});
 	expect(refused).toMatchObject({status: 429, headers: {'retry-after': '2'}});
 	expect(problemOf(refused)).toEqual({code: 'rate-exceeded', outcome: 'not-run'});
 	expect(problemOf(await send(fixture)).code).toBe('crashes-targets');
-	Object.assign(fixture.policy, {checkFingerprint: async () => undefined});
 	const headers = {'x-api-key': key, 'idempotency-key': 'a'};
 	expect(problemOf(await send(fixture, {method: 'POST', headers})).code).toBe('duplicate-key');
 	expect(fixture.received()).toHaveLength(0);
--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -102,15 +102,25 @@
 				kind: 'granted',
 				target,
 				signal: new AbortController().signal,
+				isInForce: () => true,
 				release(outcome) {
 					state.openGrants--;
 					state.outcomes.push({...outcome, target: target.id});
 				},
 			};
 		},
-		claimIdempotencyKey: async () => ({kind: 'claimed', settle: () => undefined}),
-		checkFingerprint: async () => undefined,
-		reportCrash: (_fingerprint, target) => void state.crashes.push(target),
+		claimIdempotencyKey: async () => ({
+			kind: 'claimed',
+			startBefore: Number.POSITIVE_INFINITY,
+			settle: () => undefined,
+		}),
+		clearFingerprint: async () => ({
+			kind: 'allowed',
+			async reportCrash(target) {
+				state.crashes.push(target);
+			},
+			finish: () => undefined,
+		}),
 		countRequest: () => undefined,
 		takeRetry: () => state.retries-- > 0,
 		...options.policy,
--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -35,6 +35,8 @@
 	/** Milliseconds after which the try ends in any case. */
 	readonly hardTimeout: number;
 	readonly mayGiveUp: () => boolean;
+	/** Asked just before the first byte is written; when false, the try ends as `cancelled`. */
+	readonly mayWrite: () => boolean;
 	/** Any of them ends the try. */
 	readonly signals: readonly AbortSignal[];
 };
@@ -136,11 +138,17 @@
 
 		/** The head goes out with the body, so nothing is written before the connection stands. */
 		function send(): void {
-			if (!isSettled) {
+			if (isSettled) {
+				return;
+			}
+
+			if (options.mayWrite()) {
 				wasWritten = true;
 				body.sendTo(request, bodyFailure => {
 					fail('cancelled', bodyFailure);
 				});
+			} else {
+				fail('cancelled');
 			}
 		}
 
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -32,6 +32,7 @@
 import {type RequestBody} from './request-body.js';
 import {
 	type AttemptResult,
+	type CrashClearance,
 	type RequestPolicy,
 	type RunState,
 	type SlotGrant,
@@ -62,6 +63,8 @@
 	readonly body: RequestBody;
 	/** Digest of workspace, method, path and body. */
 	readonly fingerprint: string;
+	/** Monotonic milliseconds before which a claimed idempotency key allows the first byte. */
+	readonly startBefore?: number;
 	/** Monotonic milliseconds until which the head of an answer must have come. */
 	readonly deadline: number;
 	readonly cancellation: Cancellation;
@@ -193,11 +196,16 @@
 
 		const isTargetOpen =
 			!grant.signal.aborted &&
+			grant.isInForce() &&
 			tables?.findTarget(grant.target.id)?.address === grant.target.address &&
 			tables.isDomainActive(grant.target.failureDomain);
 		return isTargetOpen ? 'ok' : 'moved';
 	}
 
+	function isClaimUsable({startBefore}: ForwardedRequest): boolean {
+		return startBefore === undefined || clock.monotonic() < startBefore;
+	}
+
 	function hasAttemptsLeft(request: ForwardedRequest, progress: Progress): boolean {
 		return (
 			progress.attempts < limits.attempts &&
@@ -355,6 +363,7 @@
 		request: ForwardedRequest,
 		progress: Progress,
 		grant: SlotGrant,
+		clearance: CrashClearance,
 	): Promise<ForwardResult | Setback> {
 		const tables = policy.tables()!;
 		const service = tables.document.services[request.route.service]!;
@@ -376,6 +385,7 @@
 			softTimeout: timeLeft * limits.attemptShare,
 			hardTimeout: timeLeft,
 			mayGiveUp: () => mayGiveUp(request, progress),
+			mayWrite: () => recheck(request, grant) === 'ok' && isClaimUsable(request),
 			signals: [request.cancellation.signal, grant.signal],
 		});
 
@@ -384,12 +394,15 @@
 			hop.end(attempt.result);
 			if (attempt.result === 'connection-broken') {
 				progress.crashes++;
-				policy.reportCrash(request.fingerprint, grant.target.id);
+				await clearance.reportCrash(grant.target.id);
+			} else {
+				clearance.finish(false);
 			}
 
 			return setbackOf(attempt);
 		}
 
+		clearance.finish(true);
 		const {answer} = attempt;
 		const generation = answer.headers['x-target-generation'];
 		const times: AttemptTimes = {
@@ -476,26 +489,17 @@
 		return true;
 	}
 
-	/** Whether another try may follow this setback. */
-	async function mayGoOn(
+	/** The problem that ends the request, or undefined where another try may follow. */
+	function findEnd(
 		request: ForwardedRequest,
 		progress: Progress,
 		setback: Setback,
-	): Promise<Problem | undefined> {
+	): Problem | undefined {
 		const problem = createProblem(setback.code, setback.runState, setback.retryAfter);
 		const isAllowed =
 			request.cancellation.reason === undefined &&
 			(progress.hasBegun ? mayContinue(request, progress) : mayRetry(request, progress, setback));
-		if (!isAllowed) {
-			return problem;
-		}
-
-		if (setback.code !== 'connection-broken') {
-			return undefined;
-		}
-
-		const refusal = await policy.checkFingerprint(request.fingerprint, progress.deadline);
-		return refusal === undefined ? undefined : problemFromRefusal(refusal);
+		return isAllowed ? undefined : problem;
 	}
 
 	return {
@@ -513,18 +517,24 @@
 				download: undefined,
 			};
 			for (;;) {
+				const clearance = await policy.clearFingerprint(request.fingerprint, progress.deadline);
+				if (clearance.kind === 'refused') {
+					return giveUp(request, progress, problemFromRefusal(clearance));
+				}
+
 				const grant = await acquireGrant(request, progress);
 				if (!('kind' in grant)) {
+					clearance.finish(false);
 					return giveUp(request, progress, grant);
 				}
 
-				const result = await tryTarget(request, progress, grant);
+				const result = await tryTarget(request, progress, grant, clearance);
 				if (result.kind !== 'setback') {
 					return result;
 				}
 
 				progress.runState = worseRunState(progress.runState, result.runState);
-				const problem = await mayGoOn(request, progress, result);
+				const problem = findEnd(request, progress, result);
 				if (problem !== undefined) {
 					return giveUp(request, progress, problem);
 				}
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -252,11 +252,6 @@
 
 		const {request, response, cancellation} = received;
 		const fingerprint = createFingerprint(authorized, request.method!, body);
-		const refusal = await policy.checkFingerprint(fingerprint, deadline);
-		if (refusal !== undefined) {
-			return {kind: 'problem', problem: problemFromRefusal(refusal)};
-		}
-
 		const claimed = await claim(request, authorized, deadline);
 		if (claimed !== undefined && !('kind' in claimed)) {
 			return {kind: 'problem', problem: claimed};
@@ -270,6 +265,7 @@
 				headers: targetHeaders(request, authorized.key),
 				body,
 				fingerprint,
+				...(claimed !== undefined && {startBefore: claimed.startBefore}),
 				deadline,
 				cancellation,
 				span,
--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -54,6 +54,11 @@
 	readonly target: TargetDefinition;
 	/** Aborts when the grant could not be renewed, or the target must not get the request any more. */
 	readonly signal: AbortSignal;
+	/**
+	 * Whether the grant is still in force by the clock. Asked just before the first byte is written,
+	 * because a process that wakes from a pause can run this code before the timer that aborts.
+	 */
+	isInForce(): boolean;
 	/** Must be called exactly once. */
 	release(outcome: AttemptOutcome): void;
 };
@@ -82,10 +87,27 @@
 
 export type IdempotencyClaim = {
 	readonly kind: 'claimed';
+	/**
+	 * Monotonic milliseconds before which the first byte must be written to a target. A claim that is
+	 * used later, after a pause of this process, could have been forgotten by its owner.
+	 */
+	readonly startBefore: number;
 	/** Must be called exactly once. `not-run` frees the key for another try. */
 	settle(state: RunState): void;
 };
 
+/** Leave for one attempt. Exactly one of its functions must be called when the attempt has ended. */
+export type CrashClearance = {
+	readonly kind: 'allowed';
+	/**
+	 * The connection broke after the first byte and before an answer. Resolves when the other
+	 * instances know, so that a caller that sends the request again meets the new state.
+	 */
+	reportCrash(target: string): Promise<void>;
+	/** The attempt ended in another way, or was not made. */
+	finish(hasAnswer: boolean): void;
+};
+
 export type RequestPolicy = {
 	/** Undefined until the first configuration has been adopted. */
 	tables(): LookupTables | undefined;
@@ -97,9 +119,11 @@
 	acquireSlot(request: SlotRequest): Promise<SlotGrant | Refusal>;
 	/** Claims an idempotency key for the first request that carries it. */
 	claimIdempotencyKey(request: IdempotencyRequest): Promise<IdempotencyClaim | Refusal>;
-	/** Refuses a request that has crashed targets. `fingerprint` is a digest. */
-	checkFingerprint(fingerprint: string, deadline: number): Promise<Refusal | undefined>;
-	reportCrash(fingerprint: string, target: string): void;
+	/**
+	 * Asked before each attempt; refuses a request that has crashed targets. `fingerprint` is a
+	 * digest. Waits while another copy of a suspect request is being tried.
+	 */
+	clearFingerprint(fingerprint: string, deadline: number): Promise<CrashClearance | Refusal>;
 	/** Counts a real request; the budget for retries and hedges grows with these. */
 	countRequest(): void;
 	/** Takes one retry or hedge from the budget. */
--- a/packages/io-platform/src/instance-list-client.ts
+++ b/packages/io-platform/src/instance-list-client.ts
@@ -40,11 +40,14 @@
 	stop(): Promise<void>;
 	/** Asks now, within the call budget. */
 	refresh(): void;
+	/** Mean milliseconds between two calls from now on. */
+	setPollInterval(interval: number): void;
 	readonly status: CallTaskStatus;
 };
 
 export function createInstanceListClient(options: InstanceListClientOptions): InstanceListClient {
-	const {clock, random, timeout = defaultTimeout, pollInterval = defaultPollInterval} = options;
+	const {clock, random, timeout = defaultTimeout} = options;
+	let {pollInterval = defaultPollInterval} = options;
 	const budget = createCallBudget({clock, callsPerSecond: mostCallsPerSecond, burst: 2});
 	const url = new URL('/v1/instances', options.url);
 	let tag: string | undefined;
@@ -87,6 +90,10 @@
 		start: task.start,
 		stop: task.stop,
 		refresh: task.wake,
+		setPollInterval(interval) {
+			pollInterval = interval;
+			task.wake();
+		},
 		get status() {
 			return task.status;
 		},
--- a/packages/policy-requests/src/__tests__/idempotency.test.ts
+++ b/packages/policy-requests/src/__tests__/idempotency.test.ts
@@ -322,7 +322,7 @@
 
 		expect(claimAtNewOwner(false)).toBe(0);
 		expect(claimAtNewOwner(true)).toBe(1);
-		expect(claimAtNewOwner(false, {whenUnknown: 'accept'})).toBe(1);
+		expect(claimAtNewOwner(false, {whenUnknown: () => 'accept'})).toBe(1);
 	});
 
 	test('memory is bounded: a full registry refuses with not-run instead of forgetting keys', () => {
--- a/packages/policy-requests/src/fingerprint.ts
+++ b/packages/policy-requests/src/fingerprint.ts
@@ -28,7 +28,10 @@
 	return createHash('sha256').update(JSON.stringify(fields)).digest('base64url');
 }
 
+/** Buckets of fingerprints and of idempotency keys, each with an owner of its own. */
+export const bucketCount = 64;
+
 /** Bucket 0 to 63 of a digest made by this module. */
 export function bucketOf(digest: string): number {
-	return Buffer.from(digest.slice(0, 2), 'base64url')[0]! % 64;
+	return Buffer.from(digest.slice(0, 2), 'base64url')[0]! % bucketCount;
 }
--- a/packages/policy-requests/src/idempotency-registry.ts
+++ b/packages/policy-requests/src/idempotency-registry.ts
@@ -28,9 +28,12 @@
 export type IdempotencyRegistryOptions = {
 	readonly fraction: ShareSource;
 	/** What a new owner does with a key that it does not know. `accept` gives up the guarantee. */
-	readonly whenUnknown?: 'refuse' | 'accept';
-	/** Milliseconds for which a key is remembered after its claim. Requests must end sooner. */
-	readonly retention?: number;
+	readonly whenUnknown?: () => 'refuse' | 'accept';
+	/**
+	 * Milliseconds for which a key is remembered after its claim. Requests must end sooner. A longer
+	 * one applies to keys that are claimed after the change.
+	 */
+	readonly retention?: () => number;
 	/** Keys over all buckets; further keys are refused with `full`. */
 	readonly mostRecords?: number;
 };
@@ -97,8 +100,8 @@
 
 export function createIdempotencyRegistry({
 	fraction,
-	whenUnknown = 'refuse',
-	retention = idempotencyRetention,
+	whenUnknown = () => 'refuse',
+	retention = () => idempotencyRetention,
 	mostRecords = 100_000,
 }: IdempotencyRegistryOptions): IdempotencyRegistry {
 	const buckets = new Map<number, Bucket>();
@@ -165,7 +168,7 @@
 
 		expire(bucket, now, expiriesPerClaim);
 		const known = findRecord(bucket, digest, now);
-		const completeAt = knownSince(bucket, tenure) + retention * driftAllowance;
+		const completeAt = knownSince(bucket, tenure) + retention() * driftAllowance;
 		if (known?.holder === from && known.id === id) {
 			// A copy of the claim. One that was settled gets no second chance.
 			return known.state === 'running' ? {kind: 'claimed'} : duplicateOf(known.state);
@@ -176,7 +179,7 @@
 		}
 
 		const isFree = known?.tenure === tenure;
-		if (!isFree && whenUnknown === 'refuse' && now < completeAt) {
+		if (!isFree && whenUnknown() === 'refuse' && now < completeAt) {
 			return {kind: 'refused', reason: 'unknown-key', retryAfter: completeAt - now};
 		}
 
@@ -187,7 +190,7 @@
 			}
 		}
 
-		put(bucket, digest, {holder: from, id, state: 'running', until: now + retention, tenure});
+		put(bucket, digest, {holder: from, id, state: 'running', until: now + retention(), tenure});
 		return {kind: 'claimed'};
 	}
 
@@ -224,7 +227,7 @@
 			} else if (record === undefined && size < mostRecords) {
 				// Also keeps a late copy of the claim from claiming the key again. It does not prove that the
 				// key is free, so it has no tenure.
-				const until = now + retention;
+				const until = now + retention();
 				put(bucket, digest, {holder: from, id, state, until, tenure: undefined});
 			}
 
--- a/packages/shallotctl/src/settings.ts
+++ b/packages/shallotctl/src/settings.ts
@@ -63,7 +63,7 @@
 		placeholder: '<url>',
 		summary: 'admin listener of an instance',
 		allowed: 'a URL http://host:port without user, password and path',
-		default: 'http://127.0.0.1:7402',
+		default: 'http://127.0.0.1:9400',
 		parse: baseUrl,
 	},
 	timeout: {
--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -18,6 +18,7 @@
 import {type Tracing} from '@shallotpond/observability/tracing';
 import {type Logger} from 'winston';
 import {createConfigurationStore, type ConfigurationStore} from './configuration-store.js';
+import {createInstanceListService, type InstanceListService} from './instance-list-service.js';
 import {createMembershipService, type MembershipService} from './membership-service.js';
 import {createPeerRouter, type PeerRouter} from './peer-router.js';
 import {createPlatformService, type PlatformService} from './platform-service.js';
@@ -56,6 +57,7 @@
 	readonly configuration: ConfigurationStore & Service;
 	readonly router: PeerRouter;
 	readonly membership: MembershipService;
+	readonly 'instance-list': InstanceListService;
 	readonly platform: PlatformService;
 	readonly spread: SpreadService;
 	readonly rates: RatesService;
@@ -77,6 +79,8 @@
 };
 
 const incarnationBytes = 6;
+/** Milliseconds in which successors fetch what this instance remembers. */
+const handoverDelay = 300;
 
 export async function createInstance(options: InstanceOptions): Promise<Instance> {
 	const {clock, random, logger, metrics, tracing, peerListen} = options;
@@ -119,11 +123,25 @@
 		...common,
 		membership,
 		failureDomain: options.failureDomain,
-		platform: () => platform,
+		onWatching(isWatching) {
+			platform.setMode(isWatching ? 'watch' : 'poll');
+			instanceList.setAnnouncing(isWatching);
+		},
+		onPoll() {
+			platform.refresh();
+		},
 	});
 	const rates = createRatesService({...common, membership});
 	const slots = createSlotsService({...common, membership});
-	const requests = createRequestsService();
+	const requests = createRequestsService({...common, membership});
+	const instanceList = createInstanceListService({
+		...common,
+		membership,
+		onList({instances, targets}) {
+			membership.observeInstances(instances);
+			slots.observeTargets(targets);
+		},
+	});
 	const platform = createPlatformService({
 		...common,
 		url: options.configurationService,
@@ -136,9 +154,8 @@
 		onFailure() {
 			spread.noteServiceFailure();
 		},
-		onList({instances, targets}) {
-			membership.observeInstances(instances);
-			slots.observeTargets(targets);
+		onList(list) {
+			instanceList.takeServedList(list);
 		},
 	});
 	const callers = createCallerListener({
@@ -180,6 +197,7 @@
 	kernel.provide('slots', slots);
 	kernel.provide('requests', requests);
 	kernel.provide('spread', spread);
+	kernel.provide('instance-list', instanceList);
 	kernel.provide('platform', platform);
 	kernel.provide('callers', callers);
 	kernel.provide('admin', admin);
@@ -199,18 +217,23 @@
 			: {isReady: true, reason: 'ready'};
 	}
 
+	async function sleep(milliseconds: number): Promise<void> {
+		return new Promise(resolve => {
+			clock.after(milliseconds, resolve);
+		});
+	}
+
 	async function stopGracefully(): Promise<void> {
 		isStopping = true;
 		logger.info('stopping');
 		// Successors need the state before they learn that the shares are theirs.
+		requests.announceStop();
+		callers.beginLeaving();
+		await sleep(handoverDelay);
 		slots.handOver();
-		requests.handOver();
 		membership.leave();
-		callers.beginLeaving();
 		// The balancer goes on sending until it has seen the readiness check fail.
-		await new Promise<void>(resolve => {
-			clock.after(options.drainGrace, resolve);
-		});
+		await sleep(options.drainGrace);
 		await kernel.stop();
 		await tracing.stop();
 		logger.info('stopped');
--- a/packages/shallotpond/src/platform-service.ts
+++ b/packages/shallotpond/src/platform-service.ts
@@ -36,6 +36,15 @@
 	readonly onList: (list: InstanceList) => void;
 };
 
+/**
+ * Milliseconds between two reads of the instance list. Watchers tell the others of changes, so that
+ * the reads grow with the failure domains and not with the fleet.
+ */
+const listIntervals: Readonly<Record<ConfigurationClientMode, number>> = {
+	watch: 1000,
+	poll: 30_000,
+};
+
 /** The decisions on the spread of configuration say when to poll, so the client need not. */
 const pollInterval = 3_600_000;
 
@@ -75,6 +84,7 @@
 		random,
 		onList,
 		onFailure: countFailure('instances'),
+		pollInterval: listIntervals.poll,
 	});
 	metrics.gauge(
 		'configuration_reads',
@@ -92,6 +102,7 @@
 		},
 		setMode(mode) {
 			configurationClient.setMode(mode);
+			instanceListClient.setPollInterval(listIntervals[mode]);
 		},
 		refresh() {
 			configurationClient.refresh();
--- a/packages/shallotpond/src/request-policy.ts
+++ b/packages/shallotpond/src/request-policy.ts
@@ -26,10 +26,7 @@
 		admit: async request => rates.admit(request),
 		acquireSlot: async request => slots.acquire(request),
 		claimIdempotencyKey: async request => requests.claim(request),
-		checkFingerprint: async (fingerprint, deadline) => requests.check(fingerprint, deadline),
-		reportCrash(fingerprint, target) {
-			requests.reportCrash(fingerprint, target);
-		},
+		clearFingerprint: async (fingerprint, deadline) => requests.clear(fingerprint, deadline),
 		countRequest() {
 			requests.countRequest();
 		},
--- a/packages/shallotpond/src/spread-service.ts
+++ b/packages/shallotpond/src/spread-service.ts
@@ -21,7 +21,6 @@
 import {type ConfigurationStore} from './configuration-store.js';
 import {type MembershipService} from './membership-service.js';
 import {type Outbox, type PeerRouter} from './peer-router.js';
-import {type PlatformService} from './platform-service.js';
 
 type DocumentRequest = {readonly kind: 'document-request'; readonly request: number};
 type DocumentAnswer = {
@@ -50,8 +49,10 @@
 	readonly router: PeerRouter;
 	readonly membership: MembershipService;
 	readonly failureDomain: string;
-	/** Looked up late, because the platform service reports to this one. */
-	readonly platform: () => PlatformService;
+	/** Told whether this instance watches the configuration service for its failure domain. */
+	readonly onWatching: (isWatching: boolean) => void;
+	/** Asks for a read of the configuration service. */
+	readonly onPoll: () => void;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 };
@@ -119,7 +120,7 @@
 	function setWatching(shouldWatch: boolean): void {
 		if (isWatching !== shouldWatch) {
 			isWatching = shouldWatch;
-			options.platform().setMode(shouldWatch ? 'watch' : 'poll');
+			options.onWatching(shouldWatch);
 		}
 	}
 
@@ -135,7 +136,7 @@
 			setWatching(false);
 		},
 		poll() {
-			options.platform().refresh();
+			options.onPoll();
 		},
 		pull: startPull,
 	};
