--- a/packages/shallotpond/src/instance-list-service.ts
+++ b/packages/shallotpond/src/instance-list-service.ts
@@ -75,7 +75,8 @@
 
 	router.register(['instance-list-digest'], (message: ListDigest, from): Outbox => {
 		const isKnown = message.digest === digest;
-		return isKnown ? [] : [{to: from, message: {kind: 'instance-list-request'} as ListRequest}];
+		const request: ListRequest = {kind: 'instance-list-request'};
+		return isKnown ? [] : [{to: from, message: request}];
 	});
 	router.register(['instance-list-request'], (_message: ListRequest, from): Outbox => {
 		const message: ListAnswer = {kind: 'instance-list', list: current};
