Test successors of leaving instances and of handovers

Trials that removed single rules showed that no test covered three of them: the successor of an instance that is listed as leaving, a handover that reaches an owner which is not its successor, and the heartbeats sent at once when a peer leaves.

Add tests for them.

--- a/packages/policy-membership/src/__tests__/membership.test.ts
+++ b/packages/policy-membership/src/__tests__/membership.test.ts
@@ -1,7 +1,7 @@
 import {expect, test} from '@jest/globals';
 import {addressOf} from '@shallotpond/kernel/instance-id';
 import {type Heartbeat, type MembershipMessage} from '../heartbeat.js';
-import {createMembership} from '../membership.js';
+import {createMembership, type Membership} from '../membership.js';
 import {createPauseGuard} from '../pause-guard.js';
 import {createFleet, resources, type Fleet} from './fleet.js';
 
@@ -51,7 +51,7 @@
 			({membership, clock}) =>
 				membership.fraction(resources[0]!, clock.monotonic()).vested * 9 > 8.5,
 		);
-	expect(timeUntil(fleet, 4000, hasVestedOwner)).toBeLessThan(600);
+	expect(timeUntil(fleet, 4000, hasVestedOwner)).toBeLessThan(300);
 	expect(viewDigests(fleet).size).toBe(1);
 });
 
@@ -109,16 +109,29 @@
 	expect(observer.membership.view(observer.clock.monotonic()).has(membership.self)).toBe(true);
 });
 
+function createInstance(self: string) {
+	return createMembership({
+		self,
+		startedAt: 0,
+		maxInstances: () => 2,
+		configuration: () => ({version: 3, digest: 'd', confirmedAgo: 10}),
+	});
+}
+
+function exchangeAll(memberships: readonly Membership[], now: number): MembershipMessage[] {
+	const sent = memberships.flatMap(membership => membership.tick(now));
+	for (const {message} of sent) {
+		for (const membership of memberships) {
+			membership.receive(message, now + 1);
+		}
+	}
+
+	return sent.map(({message}) => message);
+}
+
 function createPair() {
-	const create = (self: string) =>
-		createMembership({
-			self,
-			startedAt: 0,
-			maxInstances: () => 2,
-			configuration: () => ({version: 3, digest: 'd', confirmedAgo: 10}),
-		});
-	const left = create('10.0.0.1:7400#l');
-	const right = create('10.0.0.2:7400#r');
+	const left = createInstance('10.0.0.1:7400#l');
+	const right = createInstance('10.0.0.2:7400#r');
 	const list = ['10.0.0.1:7400', '10.0.0.2:7400'].map(address => ({
 		address,
 		failureDomain: 'north',
@@ -126,17 +139,7 @@
 	}));
 	left.observeInstances(list, 0);
 	right.observeInstances(list, 0);
-	const exchange = (now: number): MembershipMessage[] => {
-		const sent = [left, right].flatMap(membership => membership.tick(now));
-		for (const {message} of sent) {
-			for (const membership of [left, right]) {
-				membership.receive(message, now + 1);
-			}
-		}
-
-		return sent.map(({message}) => message);
-	};
-
+	const exchange = (now: number) => exchangeAll([left, right], now);
 	return {left, right, list, exchange};
 }
 
@@ -162,8 +165,14 @@
 	left.observeInstances(leaving, 4002);
 	expect(left.view(4002).members).toHaveLength(1);
 	expect(left.status(4002).peers[0]!.state).toBe('leaving');
-	left.observeInstances(list, 4003);
-	expect(left.view(4003).members).toHaveLength(2);
+	const successor = createInstance('10.0.0.2:7400#s');
+	successor.observeInstances(list, 4002);
+	for (let now = 4500; now <= 6500; now += 500) {
+		left.observeInstances(leaving, now);
+		exchangeAll([left, successor], now);
+	}
+
+	expect(left.view(6501).has(successor.self)).toBe(true);
 });
 
 test('contact with a peer or the configuration service ends isolation', () => {
--- a/packages/policy-membership/src/__tests__/share-lending.test.ts
+++ b/packages/policy-membership/src/__tests__/share-lending.test.ts
@@ -145,8 +145,10 @@
 		expect(successor.fraction(resource, start).vested).toBe(vested);
 	}
 
-	const bystander = createOwner(third);
+	// An owner in another view is not the one to which the grants were sent.
+	const alone = createView([third]);
+	const bystander = createOwner(third, 3, [full, reduced, alone]);
 	bystander.acceptHandover({...handover, to: third}, 5000);
-	bystander.lend(third, 8000, [reduced.digest], 5500);
-	expect(bystander.fraction(resource, 5500).vested).toBe(0);
+	bystander.lend(third, 8000, [alone.digest], 5500);
+	expect(bystander.fraction(resource, 5500)).toMatchObject({current: 1 / 3, vested: 0});
 });
