--- a/packages/policy-membership/src/__tests__/share-lending.test.ts
+++ b/packages/policy-membership/src/__tests__/share-lending.test.ts
@@ -119,6 +119,21 @@
 	expect(owner.fraction(resource, 6000).majoritySince).toBe(6000);
 });
 
+test('old views are forgotten, but not a majority that lasts (guards against growing memory)', () => {
+	const owner = createOwner(winner, 1);
+	owner.lend(second, 1e6, [full.digest, full.digest], 0);
+	owner.lend(second, 1e6, [full.digest], 1000);
+	expect(owner.fraction(resource, 2000).majoritySince).toBe(0);
+	owner.sweep(180_999);
+	expect([...owner.referencedViews()]).toHaveLength(3);
+	owner.sweep(241_000);
+	expect([...owner.referencedViews()]).toHaveLength(1);
+	expect(owner.fraction(resource, 241_001).majoritySince).toBe(0);
+	const names = Array.from({length: 20}, (_, index) => `shard:swaps/${index}`);
+	const other = names.find(name => full.winner(name) === winner)!;
+	expect(owner.fraction(other, 241_001).majoritySince).toBe(1000);
+});
+
 test('a handover vests lenders at once, but not after another owner could have had them', () => {
 	const predecessor = createOwner(winner);
 	predecessor.lend(third, 6000, [full.digest], 0);
--- a/packages/policy-membership/src/share-owner.ts
+++ b/packages/policy-membership/src/share-owner.ts
@@ -82,6 +82,11 @@
 
 /** Longer histories are cut, which only makes a lender vest later. */
 const periodLimit = 16;
+/**
+ * Older periods are dropped together with their views. Longer than any use of `majoritySince`, of
+ * which the longest is the 120 s for which idempotency keys are remembered.
+ */
+const historyDuration = 180_000;
 const sweepInterval = 60_000;
 const entryLifetime = 300_000;
 const noShare: ShareFraction = {current: 0, vested: 0, majoritySince: undefined};
@@ -183,6 +188,14 @@
 		return {generation, bound, validUntil, checkedAt: now, fraction};
 	}
 
+	function forgetOldPeriods(lease: Lease, now: number): void {
+		const first = lease.periods.findLastIndex(({since}) => since + historyDuration <= now);
+		if (first > 0) {
+			lease.periods = lease.periods.slice(first);
+			generation++;
+		}
+	}
+
 	function drop(lender: InstanceId): void {
 		if (leases.delete(lender)) {
 			generation++;
@@ -261,6 +274,10 @@
 			}
 
 			lastSweep = now;
+			for (const lease of leases.values()) {
+				forgetOldPeriods(lease, now);
+			}
+
 			for (const [resource, entry] of entries) {
 				if (entry.checkedAt + entryLifetime < now) {
 					entries.delete(resource);
