Hold back every answer about a crash until the members know it

Cause: with a stricter test, in which a caller sends its request again as soon as the report is answered, a copy of the report was answered at once while the notice to the members was still on its way.

Change: answers that change nothing wait for the pending notice of their fingerprint. Tests of lost answers and settlements, of a claim that is answered late and of hedges with few samples are new.

--- a/packages/policy-requests/src/__tests__/crash.test.ts
+++ b/packages/policy-requests/src/__tests__/crash.test.ts
@@ -59,9 +59,10 @@
 		}
 	}
 
-	function run(): void {
-		for (let time = 0; time < 500; time += 50) {
-			while (network.length > 0) {
+	/** Delivers until `isDone`, so that a caller acts while other messages are still on their way. */
+	function runUntil(isDone: () => boolean): void {
+		for (let time = 0; time < 1000 && !isDone(); time += 50) {
+			while (network.length > 0 && !isDone()) {
 				deliver();
 			}
 
@@ -73,6 +74,10 @@
 		}
 	}
 
+	function run(): void {
+		runUntil(() => false);
+	}
+
 	const guardOf = (name: string) => instances.get(name)!.guard;
 
 	return {
@@ -93,7 +98,11 @@
 				follow(name, turn);
 				return {name, check: turn.check};
 			});
-			run();
+			runUntil(() =>
+				checks.every(
+					({name, check}) => check.kind !== 'wait' || settled.has(`${name}/${check.ticket}`),
+				),
+			);
 			return checks.flatMap(({name, check}) => {
 				const final = (
 					check.kind === 'wait' ? settled.get(`${name}/${check.ticket}`) : check
@@ -104,7 +113,7 @@
 		crash({name, trial}: {name: string; trial?: number}, target: string) {
 			const turn = guardOf(name).reportCrash({fingerprint, target, trial}, now);
 			follow(name, turn);
-			run();
+			runUntil(() => settled.has(`${name}/${turn.ticket}`));
 			return settled.get(`${name}/${turn.ticket}`);
 		},
 		finish({name, trial}: {name: string; trial?: number}, hasAnswer: boolean) {
@@ -132,7 +141,7 @@
 
 				expect(targets.size).toBe(2);
 			}),
-			{seed: 20_261_204, numRuns: 200},
+			{seed: 20_261_204, numRuns: 1000},
 		);
 	});
 
--- a/packages/policy-requests/src/__tests__/idempotency.test.ts
+++ b/packages/policy-requests/src/__tests__/idempotency.test.ts
@@ -340,4 +340,32 @@
 		fleet.deliverAll();
 		expect(fleet.claims).toHaveLength(11);
 	});
+
+	test('a lost answer and a lost settlement are made good by sending again', () => {
+		const fleet = createSettledFleet();
+		fleet.claim(1);
+		fleet.deliver(0, false);
+		fleet.lose(0);
+		fleet.wait(100);
+		fleet.tick(1);
+		fleet.deliverAll();
+		fleet.settle(0, 'not-run');
+		fleet.lose(0);
+		fleet.wait(100);
+		fleet.tick(1);
+		fleet.deliverAll();
+		fleet.claim(2);
+		fleet.deliverAll();
+		expect(fleet.refusals).toEqual([]);
+		expect(fleet.claims).toHaveLength(2);
+	});
+
+	test('a process that wakes late does not use its claim, and frees the key', () => {
+		const fleet = createSettledFleet();
+		fleet.claim(1);
+		fleet.deliver(0, false);
+		fleet.wait(idempotencyRetention);
+		fleet.deliver(0, false);
+		expect(fleet.refusals).toEqual(['idempotency-unavailable not-run']);
+	});
 });
--- a/packages/policy-requests/src/__tests__/retry.test.ts
+++ b/packages/policy-requests/src/__tests__/retry.test.ts
@@ -133,7 +133,11 @@
 
 	test('few samples give no hedge, old ones are forgotten, and memory is bounded by services', () => {
 		const policy = createFilled(10);
-		expect(policy.delay({...request, service: 'unknown'})).toBeUndefined();
+		for (let count = 0; count < 39; count++) {
+			policy.record('few', 5);
+		}
+
+		expect(policy.delay({...request, service: 'few'})).toBeUndefined();
 		for (let count = 0; count < 256; count++) {
 			policy.record('s', 5);
 		}
--- a/packages/policy-requests/src/crash-registry.ts
+++ b/packages/policy-requests/src/crash-registry.ts
@@ -57,7 +57,8 @@
 type Pending = {
 	readonly missing: Set<InstanceId>;
 	readonly notice: CrashNotice;
-	readonly answer: Outbound<CrashAnswer>;
+	/** Sent when no member is missing any more. */
+	readonly answers: Array<Outbound<CrashAnswer>>;
 	readonly giveUpAt: number;
 };
 
@@ -84,16 +85,29 @@
 
 		const notice = createNotice(++lastNotice, entry, now);
 		const giveUpAt = now + noticeWait;
-		pending.set(notice.id, {missing: new Set(others), notice, answer, giveUpAt});
+		pending.set(notice.id, {missing: new Set(others), notice, answers: [answer], giveUpAt});
 		return others.map(to => ({to, message: notice}));
 	}
 
-	/** Answers a copy of a query, unless its first answer still waits for members. */
-	function repeatAnswer(answer: Outbound<CrashAnswer>): Array<Outbound<CrashMessage>> {
-		const isWaiting = [...pending.values()].some(
-			item => item.answer.to === answer.to && item.answer.message.id === answer.message.id,
+	/**
+	 * Answers a message that changes nothing, but not before the members know what it found. Cost:
+	 * the pending notices.
+	 */
+	function answerAfterNotices(answer: Outbound<CrashAnswer>): Array<Outbound<CrashMessage>> {
+		const {fingerprint, id} = answer.message;
+		const item = [...pending.values()].findLast(
+			({notice}) => notice.record.fingerprint === fingerprint,
 		);
-		return isWaiting ? [] : [answer];
+		if (item === undefined) {
+			return [answer];
+		}
+
+		const isCopy = item.answers.some(({to, message}) => to === answer.to && message.id === id);
+		if (!isCopy && item.answers.length < mostPending) {
+			item.answers.push(answer);
+		}
+
+		return [];
 	}
 
 	const handlers: Handlers<
@@ -104,7 +118,7 @@
 		'crash-report'(message, {from, now}) {
 			const answer = answerTo(message, from, 'recorded');
 			const entry = entryAfter(message, {known: table.lookUp(message.fingerprint, now), from, now});
-			return entry === undefined ? [answer] : announce(entry, answer, now);
+			return entry === undefined ? answerAfterNotices(answer) : announce(entry, answer, now);
 		},
 		'crash-query'(message, {from, now}) {
 			const known = table.lookUp(message.fingerprint, now);
@@ -120,7 +134,7 @@
 			if (trial !== undefined && trial.until > now) {
 				const isCopy = trial.holder === from && trial.id === message.id;
 				return isCopy
-					? repeatAnswer(answerTo(message, from, 'allowed'))
+					? answerAfterNotices(answerTo(message, from, 'allowed'))
 					: [answerTo(message, from, 'busy', busyRetry)];
 			}
 
@@ -139,7 +153,7 @@
 			}
 
 			pending.delete(message.id);
-			return [found.answer];
+			return found.answers;
 		},
 	};
 
@@ -147,10 +161,10 @@
 		handle: (message, from, now) => dispatch(handlers, message, {from, now}),
 		tick(now) {
 			const outbound: Array<Outbound<CrashMessage>> = [];
-			for (const [id, {missing, notice, answer, giveUpAt}] of pending) {
+			for (const [id, {missing, notice, answers, giveUpAt}] of pending) {
 				if (giveUpAt <= now) {
 					pending.delete(id);
-					outbound.push(answer);
+					outbound.push(...answers);
 				} else {
 					outbound.push(...[...missing].map(to => ({to, message: notice})));
 				}
