Include planned stops in the safety property and allocate less per ask

The property test knew shares that move without notice only. Three planned stops with handover now happen in half of its runs. The coordinator no longer builds lists of targets for each ask. A guard against ejections in a service that is slow as a whole, and one against late renewals, had no test that fails without them.

--- a/packages/policy-dispatch/src/__tests__/health-trial.ts
+++ b/packages/policy-dispatch/src/__tests__/health-trial.ts
@@ -1,7 +1,7 @@
 /**
  * Targets under Poisson work, judged in simulated time.
  */
-import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
+import {type Random} from '@shallotpond/kernel/random';
 import {type SlotResult} from '../slot-messages.js';
 import {createTargetHealth, type HealthChange} from '../target-health.js';
 import {logNormal} from './simulated-fleet.js';
@@ -21,9 +21,18 @@
 /** Milliseconds of one step of simulated time. */
 const step = 25;
 
+/** Park and Miller's generator. It looks up no global, which matters for millions of calls. */
+function createFastRandom(seed: number): Random {
+	let state = seed * 7919;
+	return () => {
+		state = (state * 48_271) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+}
+
 /** Poisson work on all targets; an answer is recorded when it would have arrived. */
 export function runTrial({seed, targets, seconds, rate, holders = 12, answer}: Trial) {
-	const random = createSeededRandom(seed);
+	const random = createFastRandom(seed);
 	const health = createTargetHealth({mayEject: () => true});
 	const changes: Array<HealthChange & {readonly at: number}> = [];
 	const arriving = new Map<number, Array<{target: number; holder: number; answer: Answer}>>();
--- a/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
@@ -361,13 +361,12 @@
 	});
 
 	test('a grant without renewal is reported once, and a late renewal does not revive it', () => {
-		const {holder, grant, may} = granted();
+		const {holder, grant} = granted();
 		const [renewal] = holder.tick(1500).outbound;
 		expect(renewal?.message).toMatchObject({kind: 'slot-renew', holdings: [{grant: 'g'}]});
-		expect(holder.tick(4000).events).toMatchObject([{kind: 'expired'}]);
 		const renewed = {kind: 'slot-renewed', sequence: 0, renewed: ['g'], refused: []} as const;
-		holder.handle(renewed, 'c', 4050);
-		expect(may(4060)).toBe(false);
+		holder.handle(renewed, 'c', 3900);
+		expect(holder.tick(4000).events).toMatchObject([{kind: 'expired'}]);
 		expect(holder.tick(4100).events).toEqual([]);
 		expect(holder.release(grant, undefined, 4100).outbound).toHaveLength(1);
 	});
--- a/packages/policy-dispatch/src/__tests__/slot-safety.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-safety.test.ts
@@ -11,13 +11,14 @@
 	isCold: fc.boolean(),
 	moveEvery: fc.constantFrom(1000, 4000, 15_000),
 	pauseEvery: fc.constantFrom(0, 4000, 15_000),
+	stops: fc.boolean(),
 });
 
 type Faults = typeof faults extends fc.Arbitrary<infer Value> ? Value : never;
 
 /** Every instance asks more than the targets bear, for `seconds`, under the given faults. */
 function runUnderFaults(
-	{seed, loss, duplication, late, slots, isCold, moveEvery, pauseEvery}: Faults,
+	{seed, loss, duplication, late, slots, isCold, moveEvery, pauseEvery, stops}: Faults,
 	seconds: number,
 ) {
 	const count = 5;
@@ -66,6 +67,14 @@
 		});
 	}
 
+	if (stops) {
+		for (const [index, time] of [12_000, 20_000, 28_000].entries()) {
+			fleet.at(time, () => {
+				fleet.stop(index + 1, 0);
+			});
+		}
+	}
+
 	fleet.load('beach', 60, seconds * 1000);
 	const limit = isCold ? 1 : slots;
 	fleet.run(seconds * 1000, () => {
--- a/packages/policy-dispatch/src/__tests__/target-health.test.ts
+++ b/packages/policy-dispatch/src/__tests__/target-health.test.ts
@@ -57,6 +57,15 @@
 		}
 	});
 
+	test('while a service is slow as a whole, not even its slowest target is ejected', () => {
+		const answer = (target: number, _holder: number, now: number, random: Random): Answer => {
+			const slowest = target === 3 && now > 22_000 ? 600 : 200;
+			return ordinary(random, now > 20_000 ? slowest : 40);
+		};
+
+		expect(ejections(runTrial({seed: 6, targets: 15, seconds: 50, rate: 20, answer}))).toEqual([]);
+	});
+
 	test('failures that one holder alone sees are a path fault and eject nothing', () => {
 		const answer = (target: number, holder: number, _now: number, random: Random): Answer =>
 			target === 2 && holder === 0 ? {latency: 5, result: 'connection-failed'} : ordinary(random);
--- a/packages/policy-dispatch/src/coordinated-shard.ts
+++ b/packages/policy-dispatch/src/coordinated-shard.ts
@@ -63,7 +63,7 @@
 }
 
 /** Whether one more request fits on the target under the vested fraction. */
-export function hasFreeSlot(
+function hasFreeSlot(
 	target: CoordinatedTarget,
 	shard: CoordinatedShard,
 	vested: number,
@@ -73,6 +73,21 @@
 	return target.grants.size < slotAuthority(allowed, vested);
 }
 
+/** Whether any target has room. Linear in the targets of the shard; allocates nothing. */
+export function hasAnyFreeSlot(
+	shard: CoordinatedShard,
+	vested: number,
+	health: TargetHealth,
+): boolean {
+	for (const target of shard.targets.values()) {
+		if (hasFreeSlot(target, shard, vested, health)) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 /**
  * The least loaded target with a free slot that the request may use; suspect targets and avoided
  * failure domains come last. Linear in the targets of the shard, of which there are few.
--- a/packages/policy-dispatch/src/slot-coordinator.ts
+++ b/packages/policy-dispatch/src/slot-coordinator.ts
@@ -16,7 +16,7 @@
 	allowedSlots,
 	chooseTarget,
 	floorTargets,
-	hasFreeSlot,
+	hasAnyFreeSlot,
 	isUsable,
 	usableSlots,
 	type CoordinatedShard,
@@ -293,10 +293,7 @@
 		}
 
 		const {vested} = fraction(shard.resource, now);
-		while (
-			shard.queue.size > 0 &&
-			[...shard.targets.values()].some(target => hasFreeSlot(target, shard, vested, service.health))
-		) {
+		while (shard.queue.size > 0 && hasAnyFreeSlot(shard, vested, service.health)) {
 			let chosen: CoordinatedTarget | undefined;
 			const taken = shard.queue.take(waiting => {
 				chosen = chooseTarget(shard, waiting, vested, service.choice, now);
@@ -319,14 +316,20 @@
 		ask: SlotAsk,
 		now: number,
 	): RefusalReason | undefined {
-		const usable = [...shard.targets.values()].filter(target =>
-			isUsable(target, service.choice, now),
-		);
-		if (usable.length === 0) {
+		let usable = 0;
+		let notExcluded = 0;
+		for (const target of shard.targets.values()) {
+			if (isUsable(target, service.choice, now)) {
+				usable++;
+				notExcluded += ask.excludeTargets.includes(target.definition.id) ? 0 : 1;
+			}
+		}
+
+		if (usable === 0) {
 			return 'service-unhealthy';
 		}
 
-		if (usable.every(target => ask.excludeTargets.includes(target.definition.id))) {
+		if (notExcluded === 0) {
 			return 'no-capacity';
 		}
 
