Test silent targets, unfinished handshakes and bodies, and the connection limit

Change: tests for idle connections after a silence, the connect timeout, a body that stops while it is streamed, the limit of caller connections, and Connection: close of a leaving instance.

--- a/packages/io-http/src/__tests__/at-most-once.test.ts
+++ b/packages/io-http/src/__tests__/at-most-once.test.ts
@@ -344,3 +344,24 @@
 	expect(problemOf(await answer)).toEqual({code: 'cancelled', outcome: 'may-have-run'});
 	expect(fixture.received()).toHaveLength(1);
 });
+
+const silences: ReadonlyArray<readonly [string, TargetBehaviour]> = [
+	['before its answer', {kind: 'stall'}],
+	['in its answer', {kind: 'raw', bytes: partialAnswer}],
+];
+
+test.each(silences)(
+	'idle connections to a target that went silent %s are not trusted',
+	async (_name, silence) => {
+		await start({targets: 1, routes: [shortRoute], service: {slots: 4, connections: 300}});
+		fixture.target.behaveOnce({kind: 'wait'}, {kind: 'wait'});
+		const answers = [send(fixture), send(fixture)];
+		await until(() => fixture.received().length === 2);
+		fixture.target.release();
+		await Promise.all(answers);
+		expect(fixture.target.openConnections).toBe(2);
+		fixture.target.behaveOnce(silence);
+		expect(problemOf(await send(fixture, {method: 'POST'})).outcome).toBe('may-have-run');
+		await until(() => fixture.target.openConnections === 0);
+	},
+);
--- a/packages/io-http/src/__tests__/graceful-stop.test.ts
+++ b/packages/io-http/src/__tests__/graceful-stop.test.ts
@@ -56,6 +56,7 @@
 	caller.ask();
 	await until(() => caller.isClosed);
 	expect(answersIn(caller.text)).toBe(2);
+	expect(caller.text.toLowerCase()).toContain('connection: close');
 	await fixture.listener.stop();
 });
 
--- a/packages/io-http/src/__tests__/hostile-input.test.ts
+++ b/packages/io-http/src/__tests__/hostile-input.test.ts
@@ -236,3 +236,25 @@
 	socket.on('error', () => undefined).resume();
 	await until(() => socket.destroyed);
 });
+
+test('a body that stops while it is streamed ends at the target unfinished, and says so', async () => {
+	const own = await createFixture({targets: 1, listener: {limits: {bodyIdleTimeout: 200}}});
+	const text = `POST / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\nContent-Length: 200000\r\n\r\n`;
+	const answer = await sendRaw(own, text + 'a'.repeat(100_000));
+	expect(answer).toContain('"code":"request-timeout","outcome":"may-have-run"');
+	expect(own.received()).toMatchObject([{isComplete: false}]);
+	await own.stop();
+});
+
+test('connections above the limit are closed and counted', async () => {
+	const own = await createFixture({targets: 1, listener: {limits: {callerConnections: 1}}});
+	own.target.behaveOnce({kind: 'wait'});
+	const first = send(own);
+	await until(() => own.received().length === 1);
+	const second = await send(own);
+	expect(second.error).toBeDefined();
+	expect(own.state.counts.get('closed-connections too-many')).toBe(1);
+	own.target.release();
+	expect(await first).toMatchObject({status: 200});
+	await own.stop();
+});
--- a/packages/io-http/src/__tests__/tls.test.ts
+++ b/packages/io-http/src/__tests__/tls.test.ts
@@ -1,10 +1,12 @@
 import {copyFile, mkdtemp, readFile, rm, writeFile} from 'node:fs/promises';
 import https from 'node:https';
+import net from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import tls from 'node:tls';
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
+import {createLookupTables} from '@shallotpond/configuration/lookup-tables';
 import {createTlsContext, type TlsContext} from '../tls-context.js';
 import {createFixture, key, problemOf, send, until, type Fixture} from './support.js';
 
@@ -150,3 +152,31 @@
 	expect(problemOf(answer).outcome).toBe('not-run');
 	expect(fixture.received()).toHaveLength(0);
 });
+
+test('a target that never finishes its handshake got nothing, so a POST goes to another one', async () => {
+	fixture = await createFixture({
+		targets: 2,
+		target: {tls: {cert: await certificateOf('first'), key: await keyOf('first')}},
+		service: {tls: true},
+		listener: {targetTls: {authorities: await certificateOf('first')}},
+	});
+	const sockets = new Set<net.Socket>();
+	const silent = net.createServer(socket => void sockets.add(socket.on('error', () => undefined)));
+	await new Promise<void>(resolve => {
+		silent.listen(0, '127.0.0.1', resolve);
+	});
+	const document = structuredClone(fixture.state.tables!.document);
+	const {port} = silent.address() as net.AddressInfo;
+	document.services.roster!.targets[0]!.address = `127.0.0.1:${port}`;
+	fixture.state.tables = createLookupTables(document);
+	expect(await send(fixture, {method: 'POST', body: 'swap'})).toMatchObject({status: 200});
+	const results = fixture.state.outcomes.map(({result}) => result);
+	expect(results).toEqual(['connection-failed', 'ok']);
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	await new Promise(resolve => {
+		silent.close(resolve);
+	});
+});
