Check heads before the parser goes on, and survive malformed answers

Cause: a request pipelined behind one with ambiguous framing was parsed and run before the refusal closed the connection; an answer with status 099 or a control character in its reason phrase threw inside an event handler; an HTTP/2.0 status line passed. Change: heads are checked synchronously and nothing behind a last answer is run; reason phrases are dropped, heads that cannot be written count as cut, answers must be HTTP/1.0 or 1.1; a slot is released also after an unexpected error.

--- a/packages/io-http/src/answer-checks.ts
+++ b/packages/io-http/src/answer-checks.ts
@@ -18,6 +18,10 @@
  * same when it is cut, so it is refused.
  */
 export function isFramed(method: string, answer: IncomingMessage): boolean {
+	if (!/^1\.[01]$/.test(answer.httpVersion)) {
+		return false;
+	}
+
 	const lengths = valuesOf(answer.rawHeaders, 'content-length');
 	const encodings = valuesOf(answer.rawHeaders, 'transfer-encoding');
 	if (!hasBody(method, answer.statusCode!)) {
--- a/packages/io-http/src/answer-pump.ts
+++ b/packages/io-http/src/answer-pump.ts
@@ -90,7 +90,14 @@
 
 		function begin(): void {
 			hasBegun = true;
-			options.begin();
+			try {
+				options.begin();
+			} catch {
+				// Node refuses to write heads that its parser let pass, such as status 099.
+				finish('cut');
+				return;
+			}
+
 			if (heldBytes > 0) {
 				passOn(held.length === 1 ? held[0]! : Buffer.concat(held, heldBytes));
 				held.length = 0;
@@ -137,6 +144,7 @@
 				begin();
 			}
 
+			// Does nothing where the head was refused.
 			finish(passedOn < (options.exactBytes ?? 0) ? 'cut' : 'complete');
 		}
 
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -22,6 +22,7 @@
 	type Problem,
 	type ProblemCode,
 } from './problem-response.js';
+import {checkHead} from './request-checks.js';
 import {createRequestHandler} from './request-handler.js';
 import {type RequestPolicy} from './request-policy.js';
 import {silentTracer, type RequestTracer} from './request-tracer.js';
@@ -65,7 +66,11 @@
 	stop(): Promise<void>;
 };
 
-type CallerConnection = {readonly requests: Set<Cancellation>};
+type CallerConnection = {
+	readonly requests: Set<Cancellation>;
+	/** Set with the last answer; whatever follows on the connection is not read as a request. */
+	isRefused: boolean;
+};
 
 /* eslint-disable @typescript-eslint/naming-convention -- codes of Node */
 const parserProblems: Readonly<Record<string, ProblemCode>> = {
@@ -149,6 +154,11 @@
 	function answerProblem(request: IncomingMessage, response: ServerResponse, problem: Problem) {
 		counters.increment('refusals', problem.code);
 		const mustClose = isLeaving || closingProblems.has(problem.code) || owesLargeBody(request);
+		const connection = callers.get(request.socket);
+		if (connection !== undefined && mustClose) {
+			connection.isRefused = true;
+		}
+
 		sendProblem(response, problem, mustClose);
 	}
 
@@ -176,7 +186,19 @@
 		response: ServerResponse,
 		expectsContinue: boolean,
 	): Promise<void> {
-		const {requests} = callers.get(request.socket)!;
+		const connection = callers.get(request.socket)!;
+		const {requests} = connection;
+		if (connection.isRefused) {
+			return;
+		}
+
+		// Checked before the parser goes on, so that nothing behind a refused head is run.
+		const check = checkHead(request, limits);
+		if (check.kind === 'bad') {
+			answerProblem(request, response, createProblem(check.code));
+			return;
+		}
+
 		if (requests.size >= limits.pipelinedRequests) {
 			closeConnection(request.socket, 'pipelined-requests');
 			return;
@@ -193,7 +215,8 @@
 		request.on('error', () => undefined);
 		response.on('error', () => undefined);
 		try {
-			const received = {request, response, cancellation, expectsContinue};
+			const {head} = check;
+			const received = {request, response, cancellation, head, expectsContinue};
 			finish(request, response, await handler.handle(received));
 		} catch (error) {
 			options.onInternalError?.(error);
@@ -210,7 +233,7 @@
 
 	function addConnection(socket: Socket): void {
 		const requests = new Set<Cancellation>();
-		callers.set(socket, {requests});
+		callers.set(socket, {requests, isRefused: false});
 		socket.once('close', () => {
 			for (const cancellation of requests) {
 				cancellation.cancel('caller-gone');
@@ -222,7 +245,13 @@
 	}
 
 	function refuseBroken(error: NodeJS.ErrnoException, socket: Duplex): void {
-		const requests = callers.get(socket)?.requests.size ?? 0;
+		const connection = callers.get(socket);
+		if (connection?.isRefused === true) {
+			// Its last answer is on the way, and the connection closes behind it.
+			return;
+		}
+
+		const requests = connection?.requests.size ?? 0;
 		if (error.code === 'ECONNRESET' || !socket.writable || requests > 0) {
 			// An answer now could be taken for the answer to a request in progress.
 			closeConnection(socket, error.code ?? 'broken');
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -178,6 +178,7 @@
 
 export function createForwarder(options: ForwarderOptions): Forwarder {
 	const {policy, clock, limits, counters, connections} = options;
+	const releasedGrants = new WeakSet<SlotGrant>();
 
 	function isIdempotent(request: ForwardedRequest): boolean {
 		return request.route.idempotentMethods.includes(request.method);
@@ -237,10 +238,12 @@
 			headers.push('connection', 'close');
 		}
 
-		request.response.writeHead(answer.statusCode!, answer.statusMessage, headers);
+		// The target's reason phrase is dropped: it means nothing, and may hold control characters.
+		request.response.writeHead(answer.statusCode!, headers);
 	}
 
 	function release(grant: SlotGrant, times: AttemptTimes, result: AttemptResult): void {
+		releasedGrants.add(grant);
 		counters.increment('attempts', result);
 		const {dispatched, headAt, generation} = times;
 		const now = clock.monotonic();
@@ -298,11 +301,11 @@
 			response,
 			begin() {
 				if (!progress.hasBegun) {
+					beginAnswer(request, answer);
 					progress.hasBegun = true;
 					progress.download = isIdempotent(request)
 						? readDownload(method, request.headers, answer)
 						: undefined;
-					beginAnswer(request, answer);
 				}
 			},
 			holdBytes: progress.hasBegun ? 0 : holdBytes,
@@ -410,6 +413,21 @@
 		return result;
 	}
 
+	/** Releases the slot also where an unexpected error ends the try. */
+	async function tryGrant(
+		request: ForwardedRequest,
+		progress: Progress,
+		grant: SlotGrant,
+	): Promise<ForwardResult | Setback> {
+		try {
+			return await tryTarget(request, progress, grant);
+		} finally {
+			if (!releasedGrants.has(grant)) {
+				release(grant, {dispatched: clock.monotonic()}, 'cancelled');
+			}
+		}
+	}
+
 	async function acquireGrant(
 		request: ForwardedRequest,
 		progress: Progress,
@@ -518,7 +536,7 @@
 					return giveUp(request, progress, grant);
 				}
 
-				const result = await tryTarget(request, progress, grant);
+				const result = await tryGrant(request, progress, grant);
 				if (result.kind !== 'setback') {
 					return result;
 				}
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -1,5 +1,5 @@
 /**
- * The steps of one request: check the head, match the route, authenticate, remove the key, take a
+ * The steps of one request whose head was checked: match the route, authenticate, remove the key, take a
  * token, read the beginning of the body, and forward. Each step either goes on or gives a problem.
  */
 import {createHash} from 'node:crypto';
@@ -21,7 +21,7 @@
 	type ProblemCode,
 } from './problem-response.js';
 import {readRequestBody, type BodyFailure, type RequestBody} from './request-body.js';
-import {checkHead, valuesOf, type CheckedHead} from './request-checks.js';
+import {valuesOf, type CheckedHead} from './request-checks.js';
 import {type IdempotencyClaim, type RequestPolicy} from './request-policy.js';
 import {type RequestSpan, type RequestTracer} from './request-tracer.js';
 
@@ -41,6 +41,8 @@
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly cancellation: Cancellation;
+	/** As `checkHead` gave it. */
+	readonly head: CheckedHead;
 	/** Whether the caller waits for `100 Continue` before it sends the body. */
 	readonly expectsContinue: boolean;
 };
@@ -283,18 +285,13 @@
 
 	return {
 		async handle(received) {
-			const {request, response, cancellation} = received;
-			const check = checkHead(request, limits);
-			if (check.kind === 'bad') {
-				return refuse(check.code);
-			}
-
+			const {request, response, cancellation, head} = received;
 			const tables = policy.tables();
 			if (tables === undefined) {
 				return refuse('not-ready', notReadyRetryAfter);
 			}
 
-			const authorized = authorize(tables, request, check.head);
+			const authorized = authorize(tables, request, head);
 			if (typeof authorized === 'string') {
 				return refuse(authorized);
 			}
--- a/packages/testkit/src/stand-in-target.ts
+++ b/packages/testkit/src/stand-in-target.ts
@@ -248,6 +248,8 @@
 		options.tls === undefined
 			? http.createServer(receive)
 			: https.createServer(options.tls, receive);
+	// Tests count idle connections; none may close because of the time that a test takes.
+	server.keepAliveTimeout = 3_600_000;
 	server.on('connection', (socket: Socket) => {
 		connections++;
 		sockets.add(socket);
