--- a/packages/kernel/src/__tests__/settings.test.ts
+++ b/packages/kernel/src/__tests__/settings.test.ts
@@ -34,15 +34,15 @@
 		}
 
 		expect(problems).toEqual([
-			'--lisen: unknown flag; see --help',
-			'--listen: "localhost:80" is not allowed; allowed: an IP number and a port from 0 to 65535',
-			'--log-level: no value is not allowed; allowed: one of info, debug',
-			'POND_TRACE_RATIO: "7" is not allowed; allowed: a number from 0 to 1',
+			'--trace-ratio (from POND_TRACE_RATIO): "7" is not allowed; must be a number from 0 to 1',
+			'--lisen: is not a setting; see --help',
+			'--log-level: has no value; must be one of info, debug',
+			'--listen: "localhost:80" is not allowed; must be an IP number and a port from 0 to 65535',
 		]);
 	});
 
 	test('a required setting that is absent is an error and help names its variable', () => {
-		expect(() => parse([])).toThrow('--trace-ratio: is required (or POND_TRACE_RATIO)');
+		expect(() => parse([])).toThrow('--trace-ratio: is missing (or POND_TRACE_RATIO)');
 		expect(describeSettings(table, 'POND')).toContain('variable POND_TRACE_RATIO');
 	});
 });
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -13,7 +13,7 @@
 	/** As it would be written in the flag. Without it, the setting is optional. */
 	readonly default?: string;
 	readonly isRequired?: boolean;
-	/** What is allowed, for the message about a wrong value. */
+	/** What is allowed, as it ends the sentence "must be ...". */
 	readonly allowed: string;
 	/** Undefined when the text is not allowed. */
 	readonly parse: (text: string) => Value | undefined;
@@ -44,6 +44,11 @@
 	readonly environmentPrefix: string;
 	readonly commandLine: readonly string[];
 	readonly environment: Readonly<Record<string, string | undefined>>;
+	/**
+	 * Whether a variable with the prefix that is no setting is a problem. A daemon must leave it off,
+	 * because platforms add variables with the name of a service as their prefix.
+	 */
+	readonly refusesUnknownVariables?: boolean;
 };
 
 export type ParsedSettings<Table extends SettingsTable> = {
@@ -51,69 +56,139 @@
 	readonly positionals: readonly string[];
 };
 
+/** Settings with all problems, for programs that word or hide some of them. */
+export type SettingsReading<Table extends SettingsTable> = ParsedSettings<Table> & {
+	/** Settings that were given as flags. */
+	readonly flags: ReadonlySet<keyof Table & string>;
+	/** Problems of flags, in the order of the command line and then of the table. */
+	readonly flagProblems: readonly string[];
+	readonly environmentProblems: readonly string[];
+};
+
 export function environmentName(prefix: string, flag: string): string {
 	return `${prefix}_${flag.replaceAll('-', '_').toUpperCase()}`;
 }
 
-function readCommandLine(table: SettingsTable, commandLine: readonly string[]) {
+type FlagReading = {
+	readonly texts: ReadonlyMap<string, string>;
+	readonly flags: ReadonlySet<string>;
+	readonly positionals: readonly string[];
+	readonly problems: readonly string[];
+};
+
+/** Hides a user and password in a URL, which may be given by mistake. */
+function quote(text: string): string {
+	return JSON.stringify(text.replace(/\/\/[^/@]*@/, '//***@'));
+}
+
+function readFlags(table: SettingsTable, commandLine: readonly string[]): FlagReading {
 	const options: Record<string, {type: 'string' | 'boolean'}> = {};
 	for (const [flag, setting] of Object.entries(table)) {
 		options[flag] = {type: setting.placeholder === undefined ? 'boolean' : 'string'};
 	}
 
-	return parseArgs({
+	// Not strict, because strict parsing stops at the first problem.
+	const {tokens, positionals} = parseArgs({
 		args: [...commandLine],
 		options,
 		strict: false,
 		allowPositionals: true,
 		tokens: true,
 	});
-}
-
-/** Throws a `SettingsError` that names every wrong flag and variable. */
-export function parseSettings<Table extends SettingsTable>(
-	input: SettingsInput<Table>,
-): ParsedSettings<Table> {
-	const {table, environmentPrefix, commandLine, environment} = input;
+	const texts = new Map<string, string>();
+	const flags = new Set<string>();
 	const problems: string[] = [];
-	const parsed = readCommandLine(table, commandLine);
-	const values: Record<string, unknown> = {};
+	for (const token of tokens) {
+		if (token.kind !== 'option') {
+			continue;
+		}
+
+		const {name, rawName, value, inlineValue} = token;
+		if (!Object.hasOwn(table, name)) {
+			problems.push(`${rawName}: is not a setting; see --help`);
+			continue;
+		}
 
-	for (const token of parsed.tokens) {
-		if (token.kind === 'option' && !Object.hasOwn(table, token.name)) {
-			problems.push(`${token.rawName}: unknown flag; see --help`);
+		const setting = table[name]!;
+		const isSwitch = setting.placeholder === undefined;
+		const isFlagInstead = !inlineValue && value?.startsWith('-') === true;
+		flags.add(name);
+		if (!isSwitch && (value === undefined || isFlagInstead)) {
+			problems.push(`--${name}: has no value; must be ${setting.allowed}`);
+		} else {
+			texts.set(name, value ?? 'true');
 		}
 	}
 
+	return {texts, flags, positionals, problems};
+}
+
+function findUnknownVariables({
+	table,
+	environmentPrefix,
+	environment,
+}: SettingsInput<SettingsTable>): string[] {
+	const known = new Set(Object.keys(table).map(flag => environmentName(environmentPrefix, flag)));
+	return Object.keys(environment)
+		.filter(name => name.startsWith(`${environmentPrefix}_`) && !known.has(name))
+		.map(name => `${name}: is not a setting`);
+}
+
+/** Never throws; a setting with a problem is undefined. */
+export function readSettings<Table extends SettingsTable>(
+	input: SettingsInput<Table>,
+): SettingsReading<Table> {
+	const {table, environmentPrefix, environment} = input;
+	const read = readFlags(table, input.commandLine);
+	const flagProblems = [...read.problems];
+	const environmentProblems =
+		input.refusesUnknownVariables === true ? findUnknownVariables(input) : [];
+	const values: Record<string, unknown> = {};
+
 	for (const [flag, setting] of Object.entries(table)) {
-		const given = parsed.values[flag];
 		const variable = environmentName(environmentPrefix, flag);
-		const isFromFlag = given !== undefined;
-		const text = isFromFlag ? String(given) : (environment[variable] ?? setting.default);
-		const place = isFromFlag ? `--${flag}` : variable;
+		const isFlag = read.flags.has(flag);
+		const text = isFlag ? read.texts.get(flag) : (environment[variable] ?? setting.default);
 		if (text === undefined) {
-			if (setting.isRequired) {
-				problems.push(`--${flag}: is required (or ${variable}); allowed: ${setting.allowed}`);
+			if (setting.isRequired === true && !isFlag) {
+				flagProblems.push(`--${flag}: is missing (or ${variable}); must be ${setting.allowed}`);
 			}
 
 			continue;
 		}
 
-		const isValueMissing = given === true && setting.placeholder !== undefined;
-		const value = isValueMissing ? undefined : setting.parse(text);
+		const value = setting.parse(text);
+		values[flag] = value;
 		if (value === undefined) {
-			const shown = isValueMissing ? 'no value' : JSON.stringify(text);
-			problems.push(`${place}: ${shown} is not allowed; allowed: ${setting.allowed}`);
+			const reason = `${quote(text)} is not allowed; must be ${setting.allowed}`;
+			if (isFlag) {
+				flagProblems.push(`--${flag}: ${reason}`);
+			} else {
+				environmentProblems.push(`--${flag} (from ${variable}): ${reason}`);
+			}
 		}
-
-		values[flag] = value;
 	}
 
+	return {
+		values: values as SettingsValues<Table>,
+		positionals: read.positionals,
+		flags: read.flags as ReadonlySet<keyof Table & string>,
+		flagProblems,
+		environmentProblems,
+	};
+}
+
+/** Throws a `SettingsError` that names every wrong flag and variable. */
+export function parseSettings<Table extends SettingsTable>(
+	input: SettingsInput<Table>,
+): ParsedSettings<Table> {
+	const reading = readSettings(input);
+	const problems = [...reading.environmentProblems, ...reading.flagProblems];
 	if (problems.length > 0) {
 		throw new SettingsError(problems);
 	}
 
-	return {values: values as SettingsValues<Table>, positionals: parsed.positionals};
+	return reading;
 }
 
 /** One line for each setting, for `--help`. */
@@ -121,11 +196,12 @@
 	const lines: string[] = [];
 	for (const [flag, setting] of Object.entries(table)) {
 		const argument = setting.placeholder === undefined ? '' : ` <${setting.placeholder}>`;
-		const fallback = setting.default === undefined ? '' : ` (default ${setting.default || 'none'})`;
+		const fallback = setting.default === undefined ? '' : `; default ${setting.default}`;
+		const variable = environmentName(environmentPrefix, flag);
 		lines.push(
 			`  --${flag}${argument}`,
-			`      ${setting.description}${fallback}`,
-			`      allowed: ${setting.allowed}; variable ${environmentName(environmentPrefix, flag)}`,
+			`      ${setting.description}`,
+			`      must be ${setting.allowed}${fallback}; variable ${variable}`,
 		);
 	}
 
--- a/packages/shallotctl/src/__tests__/shallotctl.test.ts
+++ b/packages/shallotctl/src/__tests__/shallotctl.test.ts
@@ -12,7 +12,8 @@
 import {afterAll, beforeAll, describe, expect, test} from '@jest/globals';
 import {digestKey} from '@shallotpond/configuration/key-digest';
 import {createSystemClock, type Clock} from '@shallotpond/kernel/clock';
-import {settingNames, environmentNameOf} from '../settings.js';
+import {environmentName} from '@shallotpond/kernel/settings';
+import {environmentPrefix, settingNames} from '../settings.js';
 import {main} from '../main.js';
 
 const targetIn = (failureDomain: string, index: number) => ({
@@ -108,7 +109,7 @@
 		const result = await run(
 			['patch', '--base', 'x', '--output=all', '--patch', '--json', '--admin=http://a/', '--bad'],
 			{
-				environment: {[environmentNameOf('timeout')]: '0', [misspelled]: '1'},
+				environment: {[environmentName(environmentPrefix, 'timeout')]: '0', [misspelled]: '1'},
 			},
 		);
 		expect(result.code).toBe(2);
@@ -116,7 +117,7 @@
 			'shallotctl: SHALLOTCTL_TIMEUOT: is not a setting',
 			'shallotctl: --timeout (from SHALLOTCTL_TIMEOUT): "0" is not allowed; must be a whole number from 1 to 600000',
 			'shallotctl: --patch: has no value; must be the path of a file',
-			'shallotctl: --bad: is not a setting; see shallotctl --help',
+			'shallotctl: --bad: is not a setting; see --help',
 			'shallotctl: --base: "x" is not allowed; must be a whole number from 1 to 999999999',
 			'shallotctl: --output: "all" is not allowed; must be document or patch',
 			'shallotctl: --admin: is not a setting of patch',
@@ -129,7 +130,7 @@
 		expect(code).toBe(0);
 		for (const name of settingNames) {
 			expect(out).toContain(`--${name}`);
-			expect(out).toContain(environmentNameOf(name));
+			expect(out).toContain(environmentName(environmentPrefix, name));
 		}
 
 		expect(await run(['--version'])).toEqual({code: 0, out: '0.1.0', errors: ''});
@@ -154,7 +155,9 @@
 		const {code, errors} = await run(['check', bad]);
 		expect(code).toBe(1);
 		expect(errors).toMatch(/fleet\.maxInstances: .*\n.*extra/);
-		const json = await run(['check', bad], {environment: {[environmentNameOf('json')]: 'true'}});
+		const json = await run(['check', bad], {
+			environment: {[environmentName(environmentPrefix, 'json')]: 'true'},
+		});
 		expect(JSON.parse(json.out)).toMatchObject({valid: false, problems: {length: 2}});
 		expect(await run(['check', await save('text.json', '{"a')])).toMatchObject({code: 1});
 		expect(await run(['check', join(directory, 'none.json')])).toMatchObject({code: 2});
@@ -234,7 +237,7 @@
 
 describe('commands to an instance', () => {
 	test('status, targets and workspaces print tables without control characters', async () => {
-		const environment = {[environmentNameOf('admin')]: adminUrl};
+		const environment = {[environmentName(environmentPrefix, 'admin')]: adminUrl};
 		const status = await run(['status'], {environment});
 		expect(status).toMatchObject({code: 0, errors: ''});
 		expect(status.out).toContain('127.0.0.1:7401#cd  two-way');
--- a/packages/shallotctl/src/help.ts
+++ b/packages/shallotctl/src/help.ts
@@ -3,12 +3,12 @@
  */
 import {type Command} from './command.js';
 import {commands} from './commands.js';
+import {describeSettings, type Setting} from '@shallotpond/kernel/settings';
 import {
 	commonSettings,
-	environmentNameOf,
+	environmentPrefix,
 	settingDefinitions,
 	settingNames,
-	type SettingDefinition,
 	type SettingName,
 } from './settings.js';
 
@@ -22,26 +22,18 @@
 
 /** For example `check <file>`. */
 export function describeUsage(name: string, command: Command): string {
-	const required = command.required.map(
-		setting => `--${setting} ${settingDefinitions[setting].placeholder}`,
-	);
+	const required = command.required.map(name => {
+		const {placeholder = ''}: Setting<unknown> = settingDefinitions[name];
+		return `--${name} <${placeholder}>`;
+	});
 	return [name, ...command.operands.map(operand => `<${operand}>`), ...required].join(' ');
 }
 
-function describeSetting(name: SettingName): string[] {
-	const definition: SettingDefinition = settingDefinitions[name];
-	const initial = definition.default === undefined ? '' : `; default ${definition.default}`;
-	return [
-		`  --${name} ${definition.placeholder}`.trimEnd(),
-		`      ${definition.summary}`,
-		`      must be ${definition.allowed}${initial}; variable ${environmentNameOf(name)}`,
-	];
-}
-
-function describeSettings(names: readonly SettingName[]): string[] {
+function describeNamed(names: readonly SettingName[]): string[] {
+	const table = Object.fromEntries(names.map(name => [name, settingDefinitions[name]]));
 	return [
 		'Settings (flags take precedence over variables):',
-		...names.flatMap(name => describeSetting(name)),
+		describeSettings(table, environmentPrefix),
 	];
 }
 
@@ -56,7 +48,7 @@
 		'Commands:',
 		...usages.flatMap(({usage, summary}) => [`  ${usage}`, `      ${summary}`]),
 		'',
-		...describeSettings(settingNames),
+		...describeNamed(settingNames),
 		'',
 		...exitCodeHelp,
 	].join('\n');
@@ -68,7 +60,7 @@
 		'',
 		command.summary,
 		'',
-		...describeSettings([...command.settings, ...commonSettings]),
+		...describeNamed([...command.settings, ...commonSettings]),
 		'',
 		...exitCodeHelp,
 	].join('\n');
--- a/packages/shallotctl/src/main.ts
+++ b/packages/shallotctl/src/main.ts
@@ -34,7 +34,7 @@
 
 function findProblems(name: string, command: Command, parsed: ParsedArguments): string[] {
 	const problems = [
-		...parsed.problems,
+		...parsed.flagProblems,
 		...checkCommandSettings(parsed, {name, ...command}),
 		...checkOperands(name, command, parsed.positionals.slice(1)),
 	];
@@ -56,7 +56,7 @@
 			isSecret || name === undefined ? 'is missing' : `${JSON.stringify(name)} is not known`;
 		throw new ShallotctlError('usage', [
 			...parsed.environmentProblems,
-			...(isSecret ? [] : parsed.problems),
+			...(isSecret ? [] : parsed.flagProblems),
 			`command: ${given}; must be one of ${[...commands.keys()].join(', ')}`,
 		]);
 	}
@@ -66,7 +66,7 @@
 
 async function run({args, environment, terminal}: MainOptions): Promise<ExitCode> {
 	const parsed = parseSettings(args, environment);
-	const {settings, positionals} = parsed;
+	const {values: settings, positionals} = parsed;
 	if (settings.version) {
 		terminal.print(readVersion());
 		return exitCodes.ok;
--- a/packages/shallotctl/src/settings.ts
+++ b/packages/shallotctl/src/settings.ts
@@ -2,34 +2,23 @@
  * The table of all settings. Parsing, `--help` and the names of the environment variables are
  * derived from it.
  */
+import {choiceSetting, switchSetting} from '@shallotpond/kernel/setting-kinds';
+import {type Setting, type SettingsValues} from '@shallotpond/kernel/settings';
+
+export const environmentPrefix = 'SHALLOTCTL';
+
+function wholeNumber(range: {readonly minimum: number; readonly maximum: number}) {
+	const {minimum, maximum} = range;
+	return {
+		allowed: `a whole number from ${minimum} to ${maximum}`,
+		parse(text: string) {
+			const value = /^\d{1,15}$/.test(text) ? Number(text) : Number.NaN;
+			return value >= minimum && value <= maximum ? value : undefined;
+		},
+	} as const;
+}
 
-/** Returns the value, or undefined when the text is not allowed. */
-type SettingParser = (text: string) => string | number | boolean | undefined;
-
-export type SettingDefinition = {
-	readonly type: 'string' | 'boolean';
-	/** Placeholder of the value in `--help`; empty for switches. */
-	readonly placeholder: string;
-	readonly summary: string;
-	/** What is allowed, as it ends the sentence "must be ...". */
-	readonly allowed: string;
-	readonly default: string | undefined;
-	readonly parse: SettingParser;
-};
-
-const environmentPrefix = 'SHALLOTCTL_';
-
-const wholeNumber =
-	(minimum: number, maximum: number): SettingParser =>
-	text => {
-		const value = /^\d{1,15}$/.test(text) ? Number(text) : Number.NaN;
-		return value >= minimum && value <= maximum ? value : undefined;
-	};
-
-const isOn: SettingParser = text =>
-	['true', 'false'].includes(text) ? text === 'true' : undefined;
-
-function baseUrl(text: string): string | undefined {
+function parseBaseUrl(text: string): string | undefined {
 	if (!URL.canParse(text)) {
 		return undefined;
 	}
@@ -39,111 +28,61 @@
 	return protocol === 'http:' && isBare ? origin : undefined;
 }
 
-const switchTo = (summary: string): SettingDefinition => ({
-	type: 'boolean',
-	placeholder: '',
-	summary,
-	allowed: 'true or false',
-	default: 'false',
-	parse: isOn,
-});
-
-const file = (summary: string): SettingDefinition => ({
-	type: 'string',
-	placeholder: '<file>',
-	summary,
-	allowed: 'the path of a file',
-	default: undefined,
-	parse: text => (text === '' ? undefined : text),
-});
-
 export const settingDefinitions = {
 	admin: {
-		type: 'string',
-		placeholder: '<url>',
-		summary: 'admin listener of an instance',
+		placeholder: 'url',
+		description: 'admin listener of an instance',
 		allowed: 'a URL http://host:port without user, password and path',
 		default: 'http://127.0.0.1:9400',
-		parse: baseUrl,
+		parse: parseBaseUrl,
 	},
 	timeout: {
-		type: 'string',
-		placeholder: '<ms>',
-		summary: 'time for one call to the admin listener, in milliseconds',
-		allowed: 'a whole number from 1 to 600000',
+		placeholder: 'ms',
+		description: 'time for one call to the admin listener, in milliseconds',
 		default: '5000',
-		parse: wholeNumber(1, 600_000),
+		...wholeNumber({minimum: 1, maximum: 600_000}),
 	},
 	base: {
-		type: 'string',
-		placeholder: '<version>',
-		summary: 'version that the patch is made against',
-		allowed: 'a whole number from 1 to 999999999',
-		default: undefined,
-		parse: wholeNumber(1, 999_999_999),
+		placeholder: 'version',
+		description: 'version that the patch is made against',
+		...wholeNumber({minimum: 1, maximum: 999_999_999}),
+	},
+	patch: {
+		placeholder: 'file',
+		description: 'file with an RFC 6902 patch',
+		allowed: 'the path of a file',
+		parse: (text: string) => (text === '' ? undefined : text),
 	},
-	patch: file('file with an RFC 6902 patch'),
 	output: {
-		type: 'string',
-		placeholder: '<what>',
-		summary: 'print the new document, or the PATCH body to publish',
+		...choiceSetting(['document', 'patch'], {
+			description: 'print the new document, or the PATCH body to publish',
+			default: 'document',
+		}),
 		allowed: 'document or patch',
-		default: 'document',
-		parse: text => (['document', 'patch'].includes(text) ? text : undefined),
 	},
 	interval: {
-		type: 'string',
-		placeholder: '<ms>',
-		summary: 'time between two reads of a watch, in milliseconds',
-		allowed: 'a whole number from 100 to 3600000',
+		placeholder: 'ms',
+		description: 'time between two reads of a watch, in milliseconds',
 		default: '1000',
-		parse: wholeNumber(100, 3_600_000),
+		...wholeNumber({minimum: 100, maximum: 3_600_000}),
 	},
 	count: {
-		type: 'string',
-		placeholder: '<reads>',
-		summary: 'reads until a watch ends; 0 goes on until it is interrupted',
-		allowed: 'a whole number from 0 to 1000000',
+		placeholder: 'reads',
+		description: 'reads until a watch ends; 0 goes on until it is interrupted',
 		default: '0',
-		parse: wholeNumber(0, 1_000_000),
+		...wholeNumber({minimum: 0, maximum: 1_000_000}),
 	},
-	json: switchTo('print JSON instead of tables'),
-	help: switchTo('print this help'),
-	version: switchTo('print the version of shallotctl'),
-} as const satisfies Readonly<Record<string, SettingDefinition>>;
+	json: {...switchSetting('print JSON instead of tables'), default: 'false'},
+	help: {...switchSetting('print this help'), default: 'false'},
+	version: {...switchSetting('print the version of shallotctl'), default: 'false'},
+} as const satisfies Readonly<Record<string, Setting<unknown>>>;
 
 export type SettingName = keyof typeof settingDefinitions;
 
 /** Values after parsing. Settings without a default are undefined when they are not given. */
-export type Settings = {
-	readonly admin: string;
-	/** Milliseconds. */
-	readonly timeout: number;
-	readonly base: number | undefined;
-	readonly patch: string | undefined;
-	readonly output: 'document' | 'patch';
-	/** Milliseconds. */
-	readonly interval: number;
-	readonly count: number;
-	readonly json: boolean;
-	readonly help: boolean;
-	readonly version: boolean;
-};
+export type Settings = SettingsValues<typeof settingDefinitions>;
 
 export const settingNames = Object.keys(settingDefinitions) as SettingName[];
 
 /** Accepted with every command. */
 export const commonSettings: readonly SettingName[] = ['json', 'help', 'version'];
-
-/** `SHALLOTCTL_TIMEOUT` for `timeout`. */
-export function environmentNameOf(name: SettingName): string {
-	return `${environmentPrefix}${name.toUpperCase()}`;
-}
-
-/** Names in the environment that look like settings and are none. */
-export function findUnknownEnvironment(environment: Readonly<NodeJS.ProcessEnv>): string[] {
-	const known = new Set(settingNames.map(name => environmentNameOf(name)));
-	return Object.keys(environment).filter(
-		name => name.startsWith(environmentPrefix) && !known.has(name),
-	);
-}
