--- a/packages/policy-limits/src/__tests__/rate-owner.test.ts
+++ b/packages/policy-limits/src/__tests__/rate-owner.test.ts
@@ -77,6 +77,14 @@
 		expect(subject.ask(10, 6700)).toBe(0);
 	});
 
+	test('a majority rounds its tokens up, so that a burst of 1 is usable in an incomplete fleet', () => {
+		const subject = createSubject(
+			{rate: 100, burst: 1},
+			{...majority, current: 0.75, vested: 0.75},
+		);
+		expect(subject.ask(1, 3000)).toBe(1);
+	});
+
 	test('minorities round their tokens down, so that two halves of an odd burst do not exceed it', () => {
 		const subject = createSubject({rate: 100, burst: 3}, half);
 		expect(subject.ask(3, 5000)).toBe(0);
--- a/packages/policy-limits/src/__tests__/rate-requester.test.ts
+++ b/packages/policy-limits/src/__tests__/rate-requester.test.ts
@@ -94,6 +94,14 @@
 		expect(sent(31)).toEqual([['b', 'token-ask', 2]]);
 	});
 
+	test('a grant of another instance than the asked one is not used', () => {
+		const {admit, requester} = createSubject('a');
+		admit(0);
+		const grant = {kind: 'token-grant', id: 1, workspace: 'w', count: 1} as const;
+		const turn = requester.handle({...grant, validFor: 100, report: true}, 'b', 1);
+		expect(kinds(turn)).toEqual([]);
+	});
+
 	test('a cancelled request takes no token', () => {
 		const {admit, grant, requester} = createSubject('a');
 		admit(0);
