--- a/packages/policy-requests/src/__tests__/crash.test.ts
+++ b/packages/policy-requests/src/__tests__/crash.test.ts
@@ -92,12 +92,13 @@
 			return messages;
 		},
 		/** Sends copies of a request at the same time; returns those that may go to a target. */
-		check(names: readonly string[]) {
+		check(names: readonly string[], meanwhile?: () => void) {
 			const checks = names.map(name => {
 				const turn = guardOf(name).check(fingerprint, now + 400, now);
 				follow(name, turn);
 				return {name, check: turn.check};
 			});
+			meanwhile?.();
 			runUntil(() =>
 				checks.every(
 					({name, check}) => check.kind !== 'wait' || settled.has(`${name}/${check.ticket}`),
@@ -158,6 +159,16 @@
 		expect(fleet.messages).toBe(before);
 	});
 
+	test('a copy that waits for a trial goes on when the trial is answered', () => {
+		const fleet = createFleet(4);
+		fleet.crash({name: 'a'}, 'first');
+		const [trial] = fleet.check(['b']);
+		const allowed = fleet.check(['d'], () => {
+			fleet.finish(trial!, true);
+		});
+		expect(allowed).toHaveLength(1);
+	});
+
 	test('a trial that did not run frees its turn, so that the request is not refused for a minute', () => {
 		const fleet = createFleet(2);
 		fleet.crash({name: 'a'}, 'first');
