Hash the members of a view only when it is looked up

A start of 48 instances makes about a hundred thousand short-lived views, and a CPU profile of its test showed more than half of the time in hashing their members. The hashes are now computed with the first look-up.

--- a/packages/policy-membership/src/rendezvous.ts
+++ b/packages/policy-membership/src/rendezvous.ts
@@ -55,16 +55,23 @@
 export function createView(instances: Iterable<InstanceId>): View {
 	const members = [...new Set(instances)].sort();
 	const memberSet = new Set(members);
-	const hashes = members.map(member => hashText(member));
 	const winners = new Map<Resource, InstanceId>();
+	let hashes: readonly number[] | undefined;
+
+	/** Many views of a start-up are replaced before anything is looked up in them. */
+	function memberHashes(): readonly number[] {
+		hashes ??= members.map(member => hashText(member));
+		return hashes;
+	}
 
 	function findWinner(resource: Resource): InstanceId | undefined {
 		const resourceHash = hashText(resource);
+		const scored = memberHashes();
 		let best: InstanceId | undefined;
 		let bestScore = -1;
 		// Equal scores go to the member that sorts first.
 		for (const [index, member] of members.entries()) {
-			const memberScore = score(hashes[index]!, resourceHash);
+			const memberScore = score(scored[index]!, resourceHash);
 			if (memberScore > bestScore) {
 				best = member;
 				bestScore = memberScore;
@@ -100,8 +107,9 @@
 		},
 		ranking(resource) {
 			const resourceHash = hashText(resource);
+			const scored = memberHashes();
 			return members
-				.map((member, index) => ({member, rank: score(hashes[index]!, resourceHash)}))
+				.map((member, index) => ({member, rank: score(scored[index]!, resourceHash)}))
 				.sort((left, right) => right.rank - left.rank)
 				.map(({member}) => member);
 		},
