Start at most one epoch between two heartbeats

While a fleet starts, each peer that joined a view started an epoch of its own, although only the last one before a heartbeat was ever announced. An epoch that was not announced is now replaced as long as an older epoch is live, so heartbeats carry fewer views.

--- a/packages/policy-membership/src/share-lender.ts
+++ b/packages/policy-membership/src/share-lender.ts
@@ -90,6 +90,18 @@
 		return false;
 	}
 
+	/**
+	 * Many peers can join between two heartbeats; only the last of these views needs an epoch. With
+	 * no older epoch left, leases may rely on this one although it was not announced.
+	 */
+	function dropUnannounced(view: View, nextSequence: number): void {
+		const latest = epochs.at(-1);
+		const isUnannounced = epochs.length > 1 && latest!.announcedBy === nextSequence;
+		if (isUnannounced && latest!.view.digest !== view.digest) {
+			epochs = epochs.slice(0, -1);
+		}
+	}
+
 	function refreshLive(): boolean {
 		const before = live;
 		live = [...new Map(epochs.map(({view}) => [view.digest, view])).values()];
@@ -105,10 +117,11 @@
 				return false;
 			}
 
+			dropUnannounced(view, nextSequence);
 			const latest = epochs.at(-1);
 			const isNew = latest?.view.digest !== view.digest;
 			if (!isNew && epochs.length === 1) {
-				return false;
+				return refreshLive();
 			}
 
 			if (isNew) {
