--- a/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
@@ -234,6 +234,29 @@
 		).toBe(true);
 	});
 
+	test('a configuration that leaves a target as it was does not set its warm-up back', () => {
+		const coordinator = createCoordinator({part: 1}, {coldSlots: 1});
+		for (let now = 0; now < 400; now += 100) {
+			const [granted] = coordinator.handle(ask(`a${now}`), 'h', now);
+			const {grant} = granted!.message as {grant: string};
+			const outcome = {result: 'ok', latency: 40, slotTime: 40} as const;
+			const service = 'roster';
+			const release = {
+				kind: 'slot-release',
+				grant,
+				holder: 'h',
+				service,
+				target: 't0',
+				outcome,
+			} as const;
+			coordinator.handle(release, 'h', now + 40);
+			const targets = now < 150 ? 1 : 2;
+			coordinator.configure(new Map([[service, testService(targets, {coldSlots: 1})]]), now + 50);
+		}
+
+		expect(coordinator.allowedSlotsOf('roster', 't0')).toBe(2);
+	});
+
 	test('a target that changed its shard waits until its former coordinator has ended', () => {
 		const coordinator = createCoordinator({part: 1});
 		coordinator.handle(ask('a'), 'h', 0);
--- a/packages/policy-dispatch/src/slot-coordinator.ts
+++ b/packages/policy-dispatch/src/slot-coordinator.ts
@@ -4,6 +4,7 @@
  * need the fraction that has been lent for a whole term, renewals the present one, and a process
  * that wakes late finds its fraction gone and grants nothing.
  */
+import {isDeepStrictEqual} from 'node:util';
 import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Outbound} from '@shallotpond/kernel/outbound';
@@ -702,10 +703,22 @@
 		shard: CoordinatedShard,
 		now: number,
 	): void {
+		const hasSameLimits = isDeepStrictEqual(
+			{...shard.settings, targets: []},
+			{...service.settings, targets: []},
+		);
 		shard.settings = service.settings;
 		for (const definition of service.map.shards[shard.number] ?? []) {
 			const previous = shard.targets.get(definition.id);
 			const next = createTarget(service, definition, shard.resource, now);
+			const isUnchanged =
+				hasSameLimits &&
+				previous?.notBefore === next.notBefore &&
+				isDeepStrictEqual(previous.definition, definition);
+			if (isUnchanged) {
+				continue;
+			}
+
 			if (previous) {
 				next.warmUp.raise(previous.warmUp.allowed, now);
 				next.generations = previous.generations;
@@ -720,6 +733,11 @@
 	}
 
 	function reconfigure(service: CoordinatedService, settings: DispatchService, now: number): void {
+		// Most changes of the configuration concern other services.
+		if (isDeepStrictEqual(service.settings, settings)) {
+			return;
+		}
+
 		const map = createShardMap(settings);
 		const movedAt = new Map<string, number>();
 		for (const {id} of settings.targets) {
