--- a/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
@@ -68,6 +68,56 @@
 		expect(ejected()).toEqual([]);
 	});
 
+	test('no mix of failing, leaving and cold targets brings the admitted slots below the floor', () => {
+		let ejections = 0;
+		for (let seed = 1; seed <= 10; seed++) {
+			const ids = ['t0', 't1', 't2', 't3', 't4', 't5', 't6'];
+			const failing = new Set<string>();
+			const fleet = createFleet({
+				seed,
+				instances: 4,
+				service: testService(ids.length, {coldSlots: 2, floor: 0.5}),
+				work: (target, _holder, _now, random) =>
+					failing.has(target) ? {latency: 5, result: 'error'} : ordinary(random),
+			});
+			let changedAt = 0;
+			const change = () => {
+				changedAt = fleet.now;
+				const id = ids[Math.floor(fleet.random() * ids.length)]!;
+				if (fleet.random() < 0.5) {
+					failing.add(id);
+				} else if (!fleet.unavailable.delete(id)) {
+					fleet.unavailable.set(id, 'leaving');
+				}
+
+				fleet.at(1000 + fleet.random() * 4000, change);
+			};
+
+			fleet.at(3000, change);
+			fleet.load('beach', 120, 40_000);
+			fleet.run(40_000, () => {
+				const coordinator = fleet.coordinatorOf('t0');
+				// The next judgement after a target has left or come back restores the floor.
+				if (fleet.now - changedAt < 500 || coordinator === undefined) {
+					return;
+				}
+
+				const available = ids.filter(id => !fleet.unavailable.has(id));
+				const atWork = available.filter(id => coordinator.healthOf('roster', id) !== 'ejected');
+				const admitted = atWork.reduce(
+					(sum, id) => sum + (coordinator.allowedSlotsOf('roster', id) ?? 0),
+					0,
+				);
+				if (atWork.length < available.length && admitted < 0.5 * 4 * available.length) {
+					throw new Error(`${admitted} slots of ${available.length} targets at ${fleet.now}`);
+				}
+			});
+			ejections += fleet.changes.filter(({state}) => state === 'ejected').length;
+		}
+
+		expect(ejections).toBeGreaterThan(10);
+	});
+
 	test('a failure domain that was taken out gets no work and returns cold', () => {
 		const fleet = createFleet({
 			seed: 6,
@@ -302,6 +352,15 @@
 		expect(allowed).toEqual([1, 1, 2, 1, 1, 2, 2, 2]);
 	});
 
+	test('connections that were kept under a predecessor are given time to close', () => {
+		const coordinator = createCoordinator({part: 1});
+		const keeps = [100, 11_000].map(now => {
+			const [granted] = coordinator.handle(ask(`a${now}`), 'h', now);
+			return (granted!.message as {keepConnection: boolean}).keepConnection;
+		});
+		expect(keeps).toEqual([false, true]);
+	});
+
 	test('more holders than the target has connections never keep too many open', () => {
 		const coordinator = createCoordinator({part: 1}, {connections: 10});
 		const kept: Array<{readonly holder: string; readonly until: number}> = [];
