--- a/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
@@ -300,7 +300,7 @@
 				outcome,
 			} as const;
 			coordinator.handle(release, 'h', now + 40);
-			const targets = now < 150 ? 1 : 2;
+			const targets = now < 50 ? 1 : 2;
 			coordinator.configure(new Map([[service, testService(targets, {coldSlots: 1})]]), now + 50);
 		}
 
