Use no own share beside a lease, and keep connections only as coordinators allow

Cause: while the live views of an instance differ, it lends a resource to no one, but an earlier owner may still count its share; using a/D of the rate then could exceed the whole. An instance without peers owns its resources itself, so nothing is lost. Change: the daemon's own share is 0; asks that wait at an owner are served every 5 ms; idle connections stay only where the grant allows them; two documents with one version are reported.

--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -102,6 +102,7 @@
 				kind: 'granted',
 				target,
 				signal: new AbortController().signal,
+				keepsConnection: true,
 				isInForce: () => true,
 				release(outcome) {
 					state.openGrants--;
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -379,7 +379,9 @@
 			connections,
 			target: grant.target,
 			service,
-			idleLimit: idleConnectionLimit(service, tables.document.fleet.maxInstances),
+			idleLimit: grant.keepsConnection
+				? idleConnectionLimit(service, tables.document.fleet.maxInstances)
+				: 0,
 			method: request.method,
 			path: request.path,
 			headers: createAttemptHeaders(request, progress, timeLeft, hop.traceparent),
--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -54,6 +54,8 @@
 	readonly target: TargetDefinition;
 	/** Aborts when the grant could not be renewed, or the target must not get the request any more. */
 	readonly signal: AbortSignal;
+	/** Whether the connection may stay open and idle after the answer. */
+	readonly keepsConnection: boolean;
 	/**
 	 * Whether the grant is still in force by the clock. Asked just before the first byte is written,
 	 * because a process that wakes from a pause can run this code before the timer that aborts.
--- a/packages/shallotpond/src/membership-service.ts
+++ b/packages/shallotpond/src/membership-service.ts
@@ -10,7 +10,7 @@
 import {createMembership, type Membership} from '@shallotpond/policy-membership/membership';
 import {createPauseGuard} from '@shallotpond/policy-membership/pause-guard';
 import {type ListedInstance} from '@shallotpond/policy-membership/roster';
-import {heartbeatInterval, leaseDuration} from '@shallotpond/policy-membership/timing';
+import {heartbeatInterval} from '@shallotpond/policy-membership/timing';
 import {type Logger} from 'winston';
 import {type ConfigurationStore} from './configuration-store.js';
 import {type PeerRouter} from './peer-router.js';
@@ -23,8 +23,6 @@
 	noteServiceReached(): void;
 	/** Tells the peers that this instance stops. */
 	leave(): void;
-	/** This instance's own part of a resource that it lends to no one: 1/D, or 0 after a start. */
-	ownShare(now: number): number;
 };
 
 export type MembershipServiceOptions = {
@@ -131,9 +129,5 @@
 		leave() {
 			router.send(membership.leave(clock.monotonic()));
 		},
-		ownShare(now) {
-			const maxInstances = configuration.tables?.document.fleet.maxInstances ?? 1;
-			return now - startedAt > leaseDuration * 1.01 ? 1 / maxInstances : 0;
-		},
 	};
 }
--- a/packages/shallotpond/src/rates-service.ts
+++ b/packages/shallotpond/src/rates-service.ts
@@ -33,7 +33,8 @@
 	readonly metrics: Metrics;
 };
 
-const tickInterval = 10;
+/** Milliseconds; asks and requests that wait for tokens are served with this delay at most. */
+const tickInterval = 5;
 /** Requests on open routes have no workspace, and their pseudo-workspaces contain a colon. */
 const openRouteMark = ':';
 
@@ -55,7 +56,9 @@
 	});
 	const requester = createRateRequester({
 		owner: membership.membership.ownerOf,
-		ownShare: (_resource, now) => membership.ownShare(now),
+		// While the live views differ, an earlier owner may still count the share of this instance, so it
+		// must not be used here. An instance without peers owns its resources itself.
+		ownShare: () => 0,
 		limits,
 		minorityFraction,
 	});
@@ -98,7 +101,9 @@
 	return {
 		start() {
 			cancelTicks = clock.every(tickInterval, () => {
-				run(requester.tick(clock.monotonic()));
+				const now = clock.monotonic();
+				router.send(owner.tick(now));
+				run(requester.tick(now));
 			});
 		},
 		stop() {
--- a/packages/shallotpond/src/slots-service.ts
+++ b/packages/shallotpond/src/slots-service.ts
@@ -142,6 +142,7 @@
 			kind: 'granted',
 			target,
 			signal: abort.signal,
+			keepsConnection: grant.keepConnection,
 			isInForce: () => holder.mayDispatch(grant, () => true, clock.monotonic()),
 			release(outcome) {
 				aborts.delete(grant.grant);
--- a/packages/shallotpond/src/spread-service.ts
+++ b/packages/shallotpond/src/spread-service.ts
@@ -76,6 +76,7 @@
 		startedAt: clock.monotonic(),
 	});
 	let isWatching = false;
+	let isInConflict = false;
 	let pull: Pull | undefined;
 	let lastPull = 0;
 	let cancelTicks: (() => void) | undefined;
@@ -141,6 +142,22 @@
 		pull: startPull,
 	};
 
+	/** Two documents with one number are a mistake of the operators, which nothing here can settle. */
+	function reportConflict(peers: ReadonlyArray<{version: number; digest: string}>): void {
+		const {version, digest} = configuration;
+		const hasConflict = peers.some(peer => peer.version === version && peer.digest !== digest);
+		if (hasConflict !== isInConflict) {
+			isInConflict = hasConflict;
+			metrics.count('configuration-conflicts', hasConflict ? 1 : 0);
+			logger.warn(
+				hasConflict
+					? 'a peer has another document with the same version; publish a higher one'
+					: 'no peer has another document with the same version',
+				{version},
+			);
+		}
+	}
+
 	function decide(): void {
 		const now = clock.monotonic();
 		const input = {
@@ -148,6 +165,7 @@
 			failureDomainOf: membership.membership.failureDomainOf,
 			peers: membership.membership.configurations(now),
 		};
+		reportConflict(input.peers);
 		for (const decision of spread.decide(input, now)) {
 			(decisionHandlers[decision.kind] as (decision: SpreadDecision) => void)(decision);
 		}
