Keep a caller's connection behind a refusal whose request ended for certain

Cause: a refused head without a body counted as one that owes a large body, so every refusal closed its connection, and the tests of the closing ones proved nothing. Change: only chunked or large unread bodies and ambiguous heads close the connection; tests count admissions behind a refusal, and the slot of a request that ends in an internal error.

--- a/packages/io-http/src/__tests__/caller-listener.test.ts
+++ b/packages/io-http/src/__tests__/caller-listener.test.ts
@@ -152,3 +152,22 @@
 	});
 	expect(fixture.state.internalErrors.splice(0)).toHaveLength(1);
 });
+
+test('an unexpected error after a slot was granted still releases the slot', async () => {
+	const tracer: RequestTracer = {
+		startRequest: () => ({
+			startHop(name) {
+				if (name === 'attempt') {
+					throw new Error('broken tracer');
+				}
+
+				return {traceparent: undefined, end: () => undefined};
+			},
+			end: () => undefined,
+		}),
+	};
+	await start({listener: {tracer}});
+	expect(problemOf(await send(fixture)).code).toBe('internal-error');
+	expect(fixture.state.outcomes).toMatchObject([{result: 'cancelled'}]);
+	expect(fixture.state.internalErrors.splice(0)).toHaveLength(1);
+});
--- a/packages/io-http/src/__tests__/hostile-input.test.ts
+++ b/packages/io-http/src/__tests__/hostile-input.test.ts
@@ -128,11 +128,26 @@
 	expect(answer.match(/^HTTP\/1\.1 /gm)).toHaveLength(1);
 });
 
-test('a request behind one with ambiguous framing is not run', async () => {
-	const coding = 'POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n';
-	const answer = await sendRaw(fixture, `${coding}GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n`);
-	expect(answer.match(/^HTTP\/1\.1 /gm)).toHaveLength(1);
-	expect(answer).toContain('connection: close');
+const ambiguousHeads: ReadonlyArray<readonly [string, string]> = [
+	['framing', 'POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n'],
+	['hosts', 'GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n'],
+];
+
+test.each(ambiguousHeads)(
+	'a request behind one with ambiguous %s is not run',
+	async (_name, bytes) => {
+		const answer = await sendRaw(fixture, `${bytes}GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n`);
+		expect(answer.match(/^HTTP\/1\.1 /gm)).toHaveLength(1);
+		expect(answer).toContain('connection: close');
+		expect(fixture.state.admitted).toBe(0);
+	},
+);
+
+test('a connection stays open behind a refusal that leaves no doubt about the next request', async () => {
+	const refused = 'GET /a/../b HTTP/1.1\r\nHost: a\r\n\r\n';
+	const next = 'GET /admin HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n';
+	const answer = await sendRaw(fixture, refused + next);
+	expect(answer).toMatch(/"code":"invalid-target".*"code":"missing-key"/s);
 });
 
 test('headers are counted beyond the number after which the parser would drop them', async () => {
@@ -147,6 +162,7 @@
 	const answer = await sendRaw(fixture, text);
 	expect(answer).toContain('"code":"body-too-large"');
 	expect(answer).toContain('connection: close');
+	expect(answer.match(/^HTTP\/1\.1 /gm)).toHaveLength(1);
 });
 
 test('a chunked body above the limit that is being streamed ends at the target unfinished', async () => {
--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -70,6 +70,7 @@
 		counts: new Map<string, number>(),
 		internalErrors: [] as unknown[],
 		openGrants: 0,
+		admitted: 0,
 	};
 
 	function withdraw(): void {
@@ -89,7 +90,10 @@
 	const policy: RequestPolicy = {
 		tables: () => state.tables,
 		isIsolated: () => false,
-		admit: async () => ({kind: 'admitted'}),
+		async admit() {
+			state.admitted++;
+			return {kind: 'admitted'};
+		},
 		async acquireSlot(request) {
 			const definitions = state.tables!.document.services.roster!.targets;
 			const target = definitions.find(({id}) => !request.excludedTargets.includes(id));
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -116,8 +116,8 @@
 		return false;
 	}
 
-	const length = Number(request.headers['content-length'] ?? Number.NaN);
-	return !(length <= drainedBodyBytes);
+	const isChunked = request.headers['transfer-encoding'] !== undefined;
+	return isChunked || Number(request.headers['content-length'] ?? 0) > drainedBodyBytes;
 }
 
 export function createCallerListener(options: CallerListenerOptions): CallerListener {
