--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -8,7 +8,6 @@
 import {type Duplex} from 'node:stream';
 import {TLSSocket} from 'node:tls';
 import {type Clock} from '@shallotpond/kernel/clock';
-import {type Random} from '@shallotpond/kernel/random';
 import {createCancellation, type Cancellation} from './cancellation.js';
 import {createForwarder, type ForwardResult} from './forwarder.js';
 import {HttpError} from './http-error.js';
