--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -8,7 +8,6 @@
 import {type Duplex} from 'node:stream';
 import {TLSSocket} from 'node:tls';
 import {type Clock} from '@shallotpond/kernel/clock';
-import {type Random} from '@shallotpond/kernel/random';
 import {createCancellation, type Cancellation} from './cancellation.js';
 import {createForwarder, type ForwardResult} from './forwarder.js';
 import {HttpError} from './http-error.js';
@@ -116,8 +115,8 @@
 		return false;
 	}
 
-	const length = Number(request.headers['content-length'] ?? Number.NaN);
-	return !(length <= drainedBodyBytes);
+	const isChunked = request.headers['transfer-encoding'] !== undefined;
+	return isChunked || Number(request.headers['content-length'] ?? 0) > drainedBodyBytes;
 }
 
 export function createCallerListener(options: CallerListenerOptions): CallerListener {
