--- a/packages/bench/src/bench-role.ts
+++ b/packages/bench/src/bench-role.ts
@@ -21,6 +21,13 @@
 const answerBody = JSON.stringify({shifts: Array.from({length: 20}, (_, index) => ({index}))});
 
 export type RoleReady = {readonly kind: 'ready'; readonly port: number};
+/** Processor time in microseconds since the start, resident memory in bytes. */
+export type RoleUsage = {
+	readonly kind: 'usage';
+	readonly processorTime: number;
+	readonly memory: number;
+};
+
 type Role = (parameters: readonly string[]) => Promise<number>;
 
 /** Answers each request at once, so that the figures show the proxies. */
@@ -138,9 +145,27 @@
 	const port = await roles[roleName]!(roleParameters);
 	const ready: RoleReady = {kind: 'ready', port};
 	process.send(ready);
+	process.on('message', () => {
+		const {user, system} = process.cpuUsage();
+		const usage: RoleUsage = {
+			kind: 'usage',
+			processorTime: user + system,
+			memory: process.memoryUsage.rss(),
+		};
+		process.send!(usage);
+	});
 	process.once('disconnect', () => {
 		// The parent has ended; nothing here is worth a graceful stop.
 
 		process.exit();
 	});
 }
+
+export async function readUsage(child: ChildProcess): Promise<RoleUsage> {
+	return new Promise(resolve => {
+		child.once('message', message => {
+			resolve(message as RoleUsage);
+		});
+		child.send('usage');
+	});
+}
