--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -173,6 +173,9 @@
 		},
 	});
 
+	// Services stop in the reverse order. The admin listener stops last, because a platform that
+	// finds `/live` unanswered during a long drain would kill the process and cut its requests.
+	kernel.provide('admin', admin);
 	kernel.provide('configuration', configuration);
 	kernel.provide('router', router);
 	kernel.provide('membership', membership);
@@ -182,7 +185,6 @@
 	kernel.provide('spread', spread);
 	kernel.provide('platform', platform);
 	kernel.provide('callers', callers);
-	kernel.provide('admin', admin);
 
 	function readiness() {
 		if (isStopping) {
