Hand shards over to the next coordinator when an instance stops; be ready only when lending

Cause of the hang: slots.handOver ran before membership.leave, so the owner of each shard was still the stopping instance itself. It recorded itself as its own successor and then forwarded each slot-release to itself without end, which kept the event loop busy: requests in progress were never answered and the process never ended.

Change: membership.leave takes the handover as a function and runs it when owners are already the successors and before peers learn of the stop.

--- a/packages/shallotpond/src/__tests__/fleet-processes.test.ts
+++ b/packages/shallotpond/src/__tests__/fleet-processes.test.ts
@@ -151,12 +151,21 @@
 	);
 }
 
+function describeRun(id: string): string {
+	const found = everyTarget().flatMap(target =>
+		target.runs
+			.filter(run => run.id === id)
+			.map(({arrivedAt}) => `ran at ${target.id} from ${Math.round(arrivedAt)}`),
+	);
+	return found.length === 0 ? 'did not run' : found.join(', ');
+}
+
 function describeOutcome(outcome: RequestOutcome): string {
 	const {id, method, workspace, instance, status, code, runState, error, sentAt, endedAt} = outcome;
 	return (
 		`${method} ${id} of ${workspace} at ${instance.peerAddress}: ` +
 		`${status ?? 'broken'} ${code ?? ''} ${runState ?? ''} ${error ?? ''} ` +
-		`${Math.round(sentAt)}..${Math.round(endedAt)}`
+		`${Math.round(sentAt)}..${Math.round(endedAt)} ${describeRun(id)}`
 	);
 }
 
@@ -247,7 +256,13 @@
 		if (report !== undefined) {
 			const logs = started.map(({peerAddress, output}) => `${peerAddress}\n${output}`);
 			await writeFile(report, JSON.stringify(figures, undefined, '\t'));
-			await writeFile(`${report}.log`, [...load.inProgress, ...logs].join('\n\n'));
+			const slow = load.outcomes.filter(
+				({workspace, status}) => workspace === 'steady' && status !== 200,
+			);
+			await writeFile(
+				`${report}.log`,
+				[...load.inProgress, ...describeOutcomes(slow), ...logs].join('\n\n'),
+			);
 		}
 	} finally {
 		await endAllProcesses();
--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -195,6 +195,11 @@
 			return {isReady: false, reason: 'no configuration yet'};
 		}
 
+		// Until then, every request that needs a token would be refused although it is within the rate.
+		if (!membership.isLending(clock.monotonic())) {
+			return {isReady: false, reason: 'waiting for leases of an earlier process to end'};
+		}
+
 		const isIsolated = membership.membership.isIsolated(clock.monotonic());
 		return isIsolated
 			? {isReady: false, reason: 'neither the configuration service nor any peer is reached'}
@@ -204,10 +209,10 @@
 	async function stopGracefully(): Promise<void> {
 		isStopping = true;
 		logger.info('stopping');
-		// Successors need the state before they learn that the shares are theirs.
-		slots.handOver();
-		requests.handOver();
-		membership.leave();
+		membership.leave(() => {
+			slots.handOver();
+			requests.handOver();
+		});
 		callers.beginLeaving();
 		// The balancer goes on sending until it has seen the readiness check fail.
 		await new Promise<void>(resolve => {
--- a/packages/shallotpond/src/membership-service.ts
+++ b/packages/shallotpond/src/membership-service.ts
@@ -10,7 +10,7 @@
 import {createMembership, type Membership} from '@shallotpond/policy-membership/membership';
 import {createPauseGuard} from '@shallotpond/policy-membership/pause-guard';
 import {type ListedInstance} from '@shallotpond/policy-membership/roster';
-import {heartbeatInterval, leaseDuration} from '@shallotpond/policy-membership/timing';
+import {heartbeatInterval, lenderLeaseDuration} from '@shallotpond/policy-membership/timing';
 import {type Logger} from 'winston';
 import {type ConfigurationStore} from './configuration-store.js';
 import {type PeerRouter} from './peer-router.js';
@@ -21,8 +21,14 @@
 	observeInstances(list: readonly ListedInstance[]): void;
 	/** Records that the configuration service confirmed the version in force. */
 	noteServiceReached(): void;
-	/** Tells the peers that this instance stops. */
-	leave(): void;
+	/**
+	 * Gives up this instance's shares and tells the peers that it stops. `handOver` runs between the
+	 * two: the owner of each resource is then already the successor, which gets the state of the
+	 * resource before it learns that the shares are its own.
+	 */
+	leave(handOver: () => void): void;
+	/** Whether the wait after a start is over, before which this instance can neither lend nor ask. */
+	isLending(now: number): boolean;
 	/** This instance's own part of a resource that it lends to no one: 1/D, or 0 after a start. */
 	ownShare(now: number): number;
 };
@@ -60,6 +66,10 @@
 		}),
 	});
 
+	function isLending(now: number): boolean {
+		return now - startedAt > lenderLeaseDuration;
+	}
+
 	function reportChanges(now: number): void {
 		const {view, exceedsMaxInstances, listedLive} = membership.status(now);
 		if (view.digest !== viewDigest) {
@@ -128,12 +138,15 @@
 		noteServiceReached() {
 			membership.noteServiceReached(clock.monotonic());
 		},
-		leave() {
-			router.send(membership.leave(clock.monotonic()));
+		leave(handOver) {
+			const farewell = membership.leave(clock.monotonic());
+			handOver();
+			router.send(farewell);
 		},
+		isLending,
 		ownShare(now) {
 			const maxInstances = configuration.tables?.document.fleet.maxInstances ?? 1;
-			return now - startedAt > leaseDuration * 1.01 ? 1 / maxInstances : 0;
+			return isLending(now) ? 1 / maxInstances : 0;
 		},
 	};
 }
