--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -200,6 +200,9 @@
 		},
 	});
 
+	// Services stop in the reverse order. The admin listener stops last, because a platform that
+	// finds `/live` unanswered during a long drain would kill the process and cut its requests.
+	kernel.provide('admin', admin);
 	kernel.provide('configuration', configuration);
 	kernel.provide('router', router);
 	kernel.provide('membership', membership);
@@ -210,7 +213,6 @@
 	kernel.provide('instance-list', instanceList);
 	kernel.provide('platform', platform);
 	kernel.provide('callers', callers);
-	kernel.provide('admin', admin);
 
 	function readiness() {
 		if (isStopping) {
@@ -221,6 +223,11 @@
 			return {isReady: false, reason: 'no configuration yet'};
 		}
 
+		// Until then, every request that needs a token would be refused although it is within the rate.
+		if (!membership.isLending(clock.monotonic())) {
+			return {isReady: false, reason: 'waiting for leases of an earlier process to end'};
+		}
+
 		const isIsolated = membership.membership.isIsolated(clock.monotonic());
 		return isIsolated
 			? {isReady: false, reason: 'neither the configuration service nor any peer is reached'}
@@ -236,12 +243,12 @@
 	async function stopGracefully(): Promise<void> {
 		isStopping = true;
 		logger.info('stopping');
-		// Successors need the state before they learn that the shares are theirs.
 		requests.announceStop();
 		callers.beginLeaving();
 		await sleep(handoverDelay);
-		slots.handOver();
-		membership.leave();
+		membership.leave(() => {
+			slots.handOver();
+		});
 		// The balancer goes on sending until it has seen the readiness check fail.
 		await sleep(options.drainGrace);
 		await kernel.stop();
