--- a/packages/configuration/src/document-schema.ts
+++ b/packages/configuration/src/document-schema.ts
@@ -72,7 +72,7 @@
 	/** Accepted methods; empty accepts all. */
 	methods: z.array(z.string().regex(/^[A-Z]+$/)).default([]),
 	service: identifier,
-	/** Open routes need no key; their requests count for the workspace named here. */
+	/** Open routes need no key. Their requests have no rate and share one place in the fair queue. */
 	open: z.boolean().default(false),
 	/** Time for the whole request until the head of the answer. */
 	timeout: milliseconds(1, longestTimeout).default(10_000),
