--- a/packages/io-http/src/__tests__/at-most-once.test.ts
+++ b/packages/io-http/src/__tests__/at-most-once.test.ts
@@ -387,6 +387,7 @@
 		isFirst = false;
 		return {...grant, isInForce: () => ++checks < 2};
 	};
+
 	expect(fixture.received()).toHaveLength(0);
 	const retried = await send(fixture, {method: 'POST', headers: {'x-api-key': key}});
 	expect(retried.status).toBe(200);
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -172,7 +172,7 @@
 	return {
 		values: values as SettingsValues<Table>,
 		positionals: read.positionals,
-		flags: read.flags as ReadonlySet<keyof Table & string>,
+		flags: read.flags,
 		flagProblems,
 		environmentProblems,
 	};
--- a/packages/shallotctl/src/help.ts
+++ b/packages/shallotctl/src/help.ts
@@ -1,9 +1,9 @@
 /**
  * Help texts, generated from the tables of commands and settings.
  */
+import {describeSettings, type Setting} from '@shallotpond/kernel/settings';
 import {type Command} from './command.js';
 import {commands} from './commands.js';
-import {describeSettings, type Setting} from '@shallotpond/kernel/settings';
 import {
 	commonSettings,
 	environmentPrefix,
