Never hand a shard over to the stopping coordinator itself

Change: export treats itself as no successor. Result: the new test passes, and fails without the change.

--- a/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
@@ -251,6 +251,15 @@
 		expect(kinds(coordinator.tick(2000))).toEqual(['not-coordinator']);
 	});
 
+	test('a stop that names this instance as its own successor sends nothing to itself', () => {
+		const coordinator = createCoordinator({part: 1});
+		const [{message}] = coordinator.handle(ask('a'), 'h', 0) as [{message: SlotMessage}];
+		const grant = message.kind === 'slot-grant' ? message.grant : '';
+		expect(coordinator.export(() => 'c', 100)).toEqual([]);
+		const release = {grant, holder: 'h', service: 'roster', target: 't0'};
+		expect(coordinator.handle({kind: 'slot-release', ...release}, 'h', 200)).toEqual([]);
+	});
+
 	test('a cancelled ask that arrives after its cancellation takes no slot', () => {
 		const coordinator = createCoordinator({part: 1});
 		coordinator.handle({kind: 'slot-cancel', id: 'a', service: 'roster', shard: 0}, 'h', 0);
--- a/packages/policy-dispatch/src/slot-coordinator.ts
+++ b/packages/policy-dispatch/src/slot-coordinator.ts
@@ -84,7 +84,8 @@
 	/** Ends terms and deadlines, judges targets, dispatches. Call it about every 100 ms. */
 	tick(now: number): Array<Outbound<SlotMessage>>;
 	/**
-	 * Planned stop: refuses what waits, hands the open grants of each shard to its successor, and
+	 * Planned stop, called when the shares have been given up, so that `successorOf` names the next
+	 * coordinator and not this one: refuses what waits, hands the open grants of each shard to its successor, and
 	 * grants and renews nothing from then on. The successor must get these messages before it
 	 * counts the predecessor's lenders as vested.
 	 */
@@ -827,7 +828,9 @@
 						outbox.push(refuse(ask, holder, 'not-coordinator', 0, now));
 					}
 
-					const to = successorOf(shard.resource, now);
+					// A successor that is this instance would get its own releases forwarded without end.
+					const winner = successorOf(shard.resource, now);
+					const to = winner === self ? undefined : winner;
 					successors.set(shard.resource, to);
 					if (to !== undefined) {
 						outbox.push({to, message: exportShard(shard, service, now)});
