--- a/packages/shallotpond/src/__tests__/counting-target.ts
+++ b/packages/shallotpond/src/__tests__/counting-target.ts
@@ -8,6 +8,7 @@
  * `download-…` is a long body sent in pieces.
  */
 import {Buffer} from 'node:buffer';
+import {createHash} from 'node:crypto';
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -44,14 +45,9 @@
 const workRange = 40;
 const largestFill = 20_000;
 
-/** A number from the text that is the same in each run. */
-function hashText(text: string): number {
-	let hash = 0;
-	for (const character of text) {
-		hash = (Math.imul(hash, 31) + character.codePointAt(0)!) >>> 0;
-	}
-
-	return hash;
+/** A number below `range` that is the same for the same text in each run. */
+function numberFrom(text: string, range: number): number {
+	return createHash('sha256').update(text).digest().readUInt32BE() % range;
 }
 
 function downloadPiece(id: string, index: number): Uint8Array {
@@ -68,7 +64,7 @@
 		return Buffer.concat(pieces);
 	}
 
-	const fill = 'x'.repeat(hashText(path) % largestFill);
+	const fill = 'x'.repeat(numberFrom(path, largestFill));
 	return Buffer.from(`${method} ${path} ${requestBody} ${fill} end of ${id}`);
 }
 
@@ -132,7 +128,7 @@
 				held.add(resolve);
 			});
 		} else {
-			await sleep(shortestWork + (hashText(runId) % workRange));
+			await sleep(shortestWork + numberFrom(runId, workRange));
 		}
 
 		const answer = expectedBody(request.method!, request.url!, body);
@@ -141,7 +137,7 @@
 	}
 
 	async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const [, , workspace = '', runId = ''] = request.url!.split('/');
+		const [workspace = '', runId = ''] = request.url!.split('/').slice(2);
 		const run = {id: runId, method: request.method!, workspace, arrivedAt: performance.now()};
 		runs.push(run);
 		inFlight.add(run);
--- a/packages/shallotpond/src/__tests__/daemon-processes.ts
+++ b/packages/shallotpond/src/__tests__/daemon-processes.ts
@@ -15,7 +15,11 @@
 const conditionInterval = 25;
 const defaultLimit = 20_000;
 
-export type DaemonExit = {readonly code: number | null; readonly signal: string | null};
+/** As Node reports it: `null` for the one that does not apply. */
+export type DaemonExit = {
+	readonly code: ChildProcess['exitCode'];
+	readonly signal: ChildProcess['signalCode'];
+};
 
 export type DaemonLogLine = Readonly<Record<string, unknown>> & {readonly message?: string};
 
@@ -69,7 +73,9 @@
 		[...children].map(async child => {
 			// SIGKILL ends paused processes as well.
 			child.kill('SIGKILL');
-			await once(child, 'exit');
+			if (child.exitCode === null && child.signalCode === null) {
+				await once(child, 'exit');
+			}
 		}),
 	);
 }
@@ -109,7 +115,7 @@
 			{host: '127.0.0.1', port, method, path, headers, ...(agent && {agent})},
 			response => {
 				let body = '';
-				const localPort = response.socket.localPort;
+				const {localPort} = response.socket;
 				response.setEncoding('utf8');
 				response.on('data', (text: string) => {
 					body += text;
@@ -152,38 +158,47 @@
 	readonly exited: Promise<DaemonExit>;
 };
 
-/** Starts the program with these arguments and nothing but `environment` beside the search path. */
-export function startProgram(
-	commandLine: readonly string[],
-	environment: Readonly<Record<string, string>> = {},
-): ProgramRun {
-	const child = spawn(process.execPath, [program, ...commandLine], {
-		env: {PATH: process.env.PATH, ...environment},
-		stdio: ['ignore', 'pipe', 'pipe'],
-	});
+/** Collects the output of a process and has it ended by `endAllProcesses`. */
+export function trackProcess(child: ChildProcess): ProgramRun {
 	let output = '';
+	const collect = (text: string) => {
+		output += text;
+	};
+
 	children.add(child);
-	for (const stream of [child.stdout, child.stderr]) {
+	for (const stream of [child.stdout!, child.stderr!]) {
 		stream.setEncoding('utf8');
-		stream.on('data', (text: string) => {
-			output += text;
-		});
+		stream.on('data', collect);
 	}
 
 	const exited = (async () => {
 		// `close` comes after the last output, `exit` may come before it.
-		const [code, signal] = (await once(child, 'close')) as [number | null, string | null];
+		await once(child, 'close');
 		children.delete(child);
-		return {code, signal};
+		return {code: child.exitCode, signal: child.signalCode};
 	})();
 	return {child, output: () => output, exited};
 }
 
+/** Starts the program with these arguments and nothing but `environment` beside the search path. */
+export function startProgram(
+	commandLine: readonly string[],
+	environment: Readonly<Record<string, string>> = {},
+): ProgramRun {
+	return trackProcess(
+		spawn(process.execPath, [program, ...commandLine], {
+			env: {PATH: process.env.PATH, ...environment},
+			stdio: ['ignore', 'pipe', 'pipe'],
+		}),
+	);
+}
+
 export type DaemonOptions = {
 	readonly failureDomain: string;
 	/** Base URL. */
 	readonly configurationService: string;
-	readonly peerSecret: string;
+	/** Given as a variable; without it, `flags` must name a file. */
+	readonly peerSecret?: string;
 	/** A free port by default. */
 	readonly peerPort?: number;
 	/** `ip:port` of peers to start with. */
@@ -206,15 +221,15 @@
 	const peerAddress = `127.0.0.1:${options.peerPort ?? (await findFreePort())}`;
 	const {child, output, exited} = startProgram(
 		[
-			...['--listen', '127.0.0.1:0'],
-			...['--admin-listen', '127.0.0.1:0'],
-			...['--peer-listen', peerAddress],
-			...['--failure-domain', failureDomain],
-			...['--configuration-service', configurationService],
-			...(peers.length > 0 ? ['--peers', peers.join(',')] : []),
+			'--listen=127.0.0.1:0',
+			'--admin-listen=127.0.0.1:0',
+			`--peer-listen=${peerAddress}`,
+			`--failure-domain=${failureDomain}`,
+			`--configuration-service=${configurationService}`,
+			...(peers.length > 0 ? [`--peers=${peers.join(',')}`] : []),
 			...flags,
 		],
-		{SHALLOTPOND_PEER_SECRET: peerSecret},
+		peerSecret === undefined ? {} : {SHALLOTPOND_PEER_SECRET: peerSecret},
 	);
 	const lines = createInterface(child.stderr!);
 	const listening = new Promise<DaemonLogLine | undefined>(resolve => {
--- a/packages/shallotpond/src/__tests__/fleet-processes.test.ts
+++ b/packages/shallotpond/src/__tests__/fleet-processes.test.ts
@@ -129,6 +129,23 @@
 	return fleet.find(({peerAddress}) => owner?.startsWith(`${peerAddress}#`)) ?? fleet[0]!;
 }
 
+/** Whether the instance that showed this status knows a coordinator for each shard, but not `lost`. */
+function hasOtherCoordinators(status: Status | undefined, lost: DaemonProcess): boolean {
+	const coordinators = status?.targets.map(({coordinator}) => coordinator) ?? [undefined];
+	return coordinators.every(
+		coordinator => coordinator !== undefined && !coordinator.startsWith(`${lost.peerAddress}#`),
+	);
+}
+
+async function untilInForce(version: number): Promise<void> {
+	for (const instance of fleet) {
+		await until(`version ${version} is in force`, async () => {
+			const status = await readStatus(instance);
+			return status?.version === version;
+		});
+	}
+}
+
 /** Resolves when each target of the service got a request that arrived after this call. */
 async function untilAllTargetsWork(list: readonly CountingTarget[]): Promise<void> {
 	const start = performance.now();
@@ -231,9 +248,10 @@
 		),
 	);
 	listInstances();
-	await until('all instances are ready', async () =>
-		(await Promise.all(fleet.map(async instance => isReady(instance)))).every(Boolean),
-	);
+	for (const instance of fleet) {
+		await until('the instance is ready', async () => isReady(instance));
+	}
+
 	load = startRequestLoad([
 		{name: 'steady', key: keys.steady, ratePerInstance: 12},
 		{name: 'greedy', key: keys.greedy, ratePerInstance: 15},
@@ -307,15 +325,12 @@
 			noteSignal(victim, 'SIGKILL');
 			await victim.exited;
 			removeInstance(victim);
-			await until('no shard is left with the killed instance', async () => {
-				const all = await Promise.all(healthy.map(async instance => readStatus(instance)));
-				return all.every(status =>
-					status?.targets.every(
-						({coordinator}) =>
-							coordinator !== undefined && !coordinator.startsWith(`${victim.peerAddress}#`),
-					),
+			for (const instance of healthy) {
+				await until('no shard is left with the killed instance', async () =>
+					hasOtherCoordinators(await readStatus(instance), victim),
 				);
-			});
+			}
+
 			await untilAllTargetsWork(targets.work);
 			const ends = await Promise.all(downloads);
 			const outcomes = outcomesOf(healthy, start);
@@ -333,10 +348,7 @@
 		'an instance pauses while the configuration service is away',
 		async () => {
 			service.patch([{op: 'replace', path: '/workspaces/members/burst', value: 90}], 1);
-			await until('version 2 is in force everywhere', async () => {
-				const all = await Promise.all(fleet.map(async instance => readStatus(instance)));
-				return all.every(status => status?.version === 2);
-			});
+			await untilInForce(2);
 			const paused = await findCoordinator();
 			const healthy = fleet.filter(instance => instance !== paused);
 			const start = performance.now();
@@ -351,7 +363,6 @@
 					({status, sentAt}) => status === 200 && sentAt > start + pauseDuration,
 				),
 			);
-			await untilAllTargetsWork(targets.work);
 			const outcomes = outcomesOf(healthy, start);
 			countRefused('pause and service away', outcomes);
 			expect(paused.logs.map(({message}) => message)).toContain('the process was paused');
@@ -376,12 +387,10 @@
 			await until('the new instance serves', () =>
 				outcomesOf([replacement], 0).some(({status: code}) => code === 200),
 			);
+			await untilAllTargetsWork(targets.work);
 			service.recover();
 			service.patch([{op: 'replace', path: '/workspaces/members/burst', value: 95}], 2);
-			await until('version 3 is in force everywhere', async () => {
-				const all = await Promise.all(fleet.map(async instance => readStatus(instance)));
-				return all.every(each => each?.version === 3);
-			});
+			await untilInForce(3);
 			for (const versions of versionsSeen.values()) {
 				// Instances that were killed before version 3 have shown fewer versions.
 				expect(versions).toEqual([...versions].sort((one, other) => one - other));
--- a/packages/shallotpond/src/__tests__/request-load.ts
+++ b/packages/shallotpond/src/__tests__/request-load.ts
@@ -63,13 +63,17 @@
 
 type Exchange = Pick<RequestOutcome, 'status' | 'error'> & {readonly body: Uint8Array};
 
-async function exchange(
-	port: number,
-	plan: RequestPlan,
-	path: string,
-	requestBody: string,
-	agent: http.Agent,
-): Promise<Exchange> {
+type ExchangeOptions = {
+	readonly port: number;
+	readonly plan: RequestPlan;
+	readonly path: string;
+	readonly requestBody: string;
+	readonly agent: http.Agent;
+};
+
+/** Never rejects. */
+async function exchange(options: ExchangeOptions): Promise<Exchange> {
+	const {port, plan, path, requestBody, agent} = options;
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
 		let status: number | undefined;
@@ -129,7 +133,8 @@
 	const agents: http.Agent[] = [];
 	const loops: Array<Promise<void>> = [];
 	const agentOf = new Map<DaemonProcess, http.Agent>();
-	let isStopped = false;
+	const balanced = new Set<DaemonProcess>();
+	const stopping = new AbortController();
 	let lastId = 0;
 
 	function findAgent(instance: DaemonProcess): http.Agent {
@@ -153,7 +158,13 @@
 		const path = `/${plan.route}/${plan.workspace}/${plan.id}`;
 		const requestBody = plan.method === 'POST' ? `order ${plan.id}` : '';
 		const sentAt = performance.now();
-		const work = exchange(instance.callerPort, plan, path, requestBody, findAgent(instance));
+		const work = exchange({
+			port: instance.callerPort,
+			plan,
+			path,
+			requestBody,
+			agent: findAgent(instance),
+		});
 		pending.set(work, `${plan.id} at ${instance.peerAddress}`);
 		const {status, error, body} = await work;
 		pending.delete(work);
@@ -178,14 +189,10 @@
 	}
 
 	/** Sends at an even pace while the balancer has the instance in its list. */
-	async function loadInstance(
-		instance: DaemonProcess,
-		workspace: LoadedWorkspace,
-		isBalanced: () => boolean,
-	): Promise<void> {
+	async function loadInstance(instance: DaemonProcess, workspace: LoadedWorkspace): Promise<void> {
 		const interval = 1000 / workspace.ratePerInstance;
-		while (!isStopped && instance.isRunning) {
-			if (isBalanced()) {
+		while (!stopping.signal.aborted && instance.isRunning) {
+			if (balanced.has(instance)) {
 				const number = ++lastId;
 				const method = number % 3 === 0 ? 'POST' : 'GET';
 				const id = `quick-${number}`;
@@ -197,17 +204,19 @@
 		}
 	}
 
-	function balance(instance: DaemonProcess): () => boolean {
-		let isBalanced = false;
-		void (async () => {
-			while (!isStopped && instance.isRunning) {
-				isBalanced = await isReady(instance);
-				await sleep(readinessInterval);
+	/** Follows the readiness of the instance until it ends. */
+	async function balance(instance: DaemonProcess): Promise<void> {
+		while (!stopping.signal.aborted && instance.isRunning) {
+			if (await isReady(instance)) {
+				balanced.add(instance);
+			} else {
+				balanced.delete(instance);
 			}
 
-			isBalanced = false;
-		})();
-		return () => isBalanced;
+			await sleep(readinessInterval);
+		}
+
+		balanced.delete(instance);
 	}
 
 	return {
@@ -216,14 +225,14 @@
 			return [...pending.values()];
 		},
 		addInstance(instance) {
-			const isBalanced = balance(instance);
+			loops.push(balance(instance));
 			for (const workspace of workspaces) {
-				loops.push(loadInstance(instance, workspace, isBalanced));
+				loops.push(loadInstance(instance, workspace));
 			}
 		},
 		send,
 		async stop() {
-			isStopped = true;
+			stopping.abort();
 			await Promise.all(loops);
 			await Promise.all(pending.keys());
 			for (const agent of agents) {
--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -173,11 +173,13 @@
 		},
 	});
 
-	// Services stop in the reverse order. The admin listener stops last, because a platform that
+	// Services stop in the reverse order. The admin listener stops late, because a platform that
 	// finds `/live` unanswered during a long drain would kill the process and cut its requests.
+	// The router comes even before it, because its network is open already and must be closed when
+	// another service does not start.
+	kernel.provide('router', router);
 	kernel.provide('admin', admin);
 	kernel.provide('configuration', configuration);
-	kernel.provide('router', router);
 	kernel.provide('membership', membership);
 	kernel.provide('rates', rates);
 	kernel.provide('slots', slots);
--- a/packages/shallotpond/src/membership-service.ts
+++ b/packages/shallotpond/src/membership-service.ts
@@ -47,6 +47,9 @@
 /** Ordinary delays of a busy event loop are not pauses. */
 const pauseTolerance = 500;
 
+/** Of the peers to start with, until the list of the platform names their failure domains. */
+const unknownFailureDomain = '';
+
 export function createMembershipService(options: MembershipServiceOptions): MembershipService {
 	const {clock, configuration, router, metrics, logger} = options;
 	const startedAt = clock.monotonic();
@@ -124,6 +127,15 @@
 		membership,
 		start() {
 			router.setPeers(options.seedAddresses);
+			// Without an entry no peer is greeted, and the list may be out of reach at the start.
+			membership.observeInstances(
+				options.seedAddresses.map(address => ({
+					address,
+					failureDomain: unknownFailureDomain,
+					state: 'live',
+				})),
+				clock.monotonic(),
+			);
 			cancelTicks = clock.every(heartbeatInterval, tick);
 			tick();
 		},
--- a/packages/shallotpond/src/rates-service.ts
+++ b/packages/shallotpond/src/rates-service.ts
@@ -33,7 +33,8 @@
 	readonly metrics: Metrics;
 };
 
-const tickInterval = 10;
+/** A request waits at most 250 ms for its token, so waiting asks are looked at much more often. */
+const tickInterval = 5;
 /** Requests on open routes have no workspace, and their pseudo-workspaces contain a colon. */
 const openRouteMark = ':';
 
@@ -98,7 +99,9 @@
 	return {
 		start() {
 			cancelTicks = clock.every(tickInterval, () => {
-				run(requester.tick(clock.monotonic()));
+				const now = clock.monotonic();
+				router.send(owner.tick(now));
+				run(requester.tick(now));
 			});
 		},
 		stop() {
