--- a/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
@@ -253,7 +253,7 @@
 
 	test('a stop that names this instance as its own successor sends nothing to itself', () => {
 		const coordinator = createCoordinator({part: 1});
-		const [{message}] = coordinator.handle(ask('a'), 'h', 0) as [{message: SlotMessage}];
+		const [{message}] = coordinator.handle(ask('a'), 'h', 0) as unknown as [{message: SlotMessage}];
 		const grant = message.kind === 'slot-grant' ? message.grant : '';
 		expect(coordinator.export(() => 'c', 100)).toEqual([]);
 		const release = {grant, holder: 'h', service: 'roster', target: 't0'};
