--- a/packages/replay/src/fleet-harness.ts
+++ b/packages/replay/src/fleet-harness.ts
@@ -130,6 +130,8 @@
 	readonly instances: readonly FleetInstance[];
 	readonly targets: ReadonlyMap<string, FakeTarget>;
 	readonly network: FakeNetwork<Envelope>;
+	/** Whether the load balancer of the platform may send to the instance with this index. */
+	isAccepting(instance: number): boolean;
 	/** The newest document of the configuration service. */
 	readonly document: FleetDocument;
 	/** Sends a request now and returns its id. Throws a `RangeError` for a timeout above 3,800 ms. */
@@ -227,9 +229,10 @@
 	let nextRequest = 0;
 	let nextIncarnation = 0;
 	let resetAt = 0;
+	let agendaDone = 0;
 
 	function at(time: number, action: () => void): void {
-		const bucket = Math.max(Math.floor(now() / step) + 1, Math.ceil(time / step));
+		const bucket = Math.max(agendaDone + 1, Math.ceil(time / step));
 		const actions = agenda.get(bucket);
 		if (actions === undefined) {
 			agenda.set(bucket, [action]);
@@ -505,11 +508,14 @@
 	}
 
 	function runAgenda(): void {
-		const bucket = Math.round(now() / step);
-		const actions = agenda.get(bucket) ?? [];
-		agenda.delete(bucket);
-		for (const action of actions) {
-			action();
+		// The last step of `advance` may be shorter than the others.
+		for (const last = Math.floor(now() / step); agendaDone < last;) {
+			agendaDone++;
+			const actions = agenda.get(agendaDone) ?? [];
+			agenda.delete(agendaDone);
+			for (const action of actions) {
+				action();
+			}
 		}
 	}
 
@@ -549,6 +555,7 @@
 		instances,
 		targets,
 		network,
+		isAccepting: index => !instances[index]!.isEnded && !leavingInstances.has(index),
 		get document() {
 			return document;
 		},
--- a/packages/replay/src/fleet-instance.ts
+++ b/packages/replay/src/fleet-instance.ts
@@ -36,6 +36,7 @@
 	type RequesterBoundTokenMessage,
 } from '@shallotpond/policy-limits/token-messages';
 import {createMembership, type Membership} from '@shallotpond/policy-membership/membership';
+import {createView} from '@shallotpond/policy-membership/rendezvous';
 import {type ListedInstance} from '@shallotpond/policy-membership/roster';
 import {heartbeatInterval, lenderLeaseDuration} from '@shallotpond/policy-membership/timing';
 import {
@@ -137,6 +138,8 @@
 const requesterInterval = 10;
 const slotInterval = 100;
 const pullTimeout = 1000;
+/** Messages to itself in one turn; more are a loop, which would otherwise hang the replay. */
+const mostOwnMessages = 10_000;
 /** The instance waits a little longer than what it told the target, so that no run outlives its slot. */
 const answerMargin = 20;
 
@@ -248,6 +251,18 @@
 		}
 	}
 
+	function handleOwnMessages(): void {
+		for (let handled = 0; ownMessages.length > 0; handled++) {
+			const envelope = ownMessages.shift()!;
+			if (handled > mostOwnMessages) {
+				const {kind} = envelope.message;
+				throw new Error(`${id} sends ${kind} messages to itself without end`);
+			}
+
+			handle(envelope);
+		}
+	}
+
 	/** Runs decisions, then the messages of this instance to itself. */
 	function enter(action: () => void): void {
 		if (isEnded) {
@@ -258,12 +273,8 @@
 		const before = isOutermost && options.measuresProcessorTime ? processorMicroseconds() : 0;
 		depth++;
 		action();
-		for (
-			let envelope = isOutermost ? ownMessages.shift() : undefined;
-			envelope !== undefined;
-			envelope = ownMessages.shift()
-		) {
-			handle(envelope);
+		if (isOutermost) {
+			handleOwnMessages();
 		}
 
 		depth--;
@@ -572,7 +583,10 @@
 		},
 		leave() {
 			whenAwake(() => {
-				send(coordinator.export(membership.ownerOf, now()));
+				// The own view still contains this instance, which would then hand over to itself.
+				const others = membership.view(now()).members.filter(member => member !== id);
+				const next = createView(others);
+				send(coordinator.export(resource => next.winner(resource), now()));
 				send(membership.leave(now()));
 			});
 		},
