--- /dev/null
+++ b/packages/replay/src/compare.ts
@@ -0,0 +1,293 @@
+/**
+ * Compares the fleet design with the local baseline for both organisations on the same seed,
+ * requests and faults. Prints one table and writes `reports/compare.json` and
+ * `reports/compare.svg`.
+ */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {parseArgs} from 'node:util';
+import {isMainThread, parentPort, Worker, workerData} from 'node:worker_threads';
+import {plotComparison} from './comparison-plot.js';
+import {type FleetPolicy} from './fleet-instance.js';
+import {
+	measureDetection,
+	measureGreedyTenant,
+	measureNoise,
+	measureScenario,
+	measureServiceSlowdown,
+	type MeasurementOptions,
+	type ScenarioResult,
+	type TenantResult,
+} from './measurements.js';
+import {organisations} from './organisations.js';
+import {scenarios, type ScenarioName} from './scenarios.js';
+
+type Settings = {
+	readonly seed: number;
+	readonly instances: number;
+	/** 0 leaves the noise out. */
+	readonly noiseMinutes: number;
+	readonly scenarios: readonly ScenarioName[];
+};
+
+export type Comparison = {
+	readonly organisation: string;
+	readonly policy: FleetPolicy;
+	readonly scenarios: readonly ScenarioResult[];
+	/** Milliseconds; undefined when not detected in 20 s. */
+	readonly slowDetection: number | undefined;
+	readonly failureDetection: number | undefined;
+	readonly slowServiceEjections: number;
+	/** Undefined when not run. */
+	readonly noiseEjections: number | undefined;
+	readonly greedyTenant: TenantResult;
+};
+
+export type Verdict = {
+	readonly organisation: string;
+	readonly measure: string;
+	readonly target: string;
+	readonly fleet: string;
+	readonly local: string;
+	readonly fleetMeets: 'yes' | 'no' | 'not run' | '-';
+};
+
+const policies: readonly FleetPolicy[] = ['fleet', 'local'];
+
+function compareOrganisation(index: number, settings: Settings): Comparison[] {
+	const organisation = organisations[index]!;
+	return policies.map(policy => {
+		const {seed, instances, noiseMinutes} = settings;
+		const options: MeasurementOptions = {organisation, policy, seed, instances};
+		const results = settings.scenarios.map(name => {
+			const result = measureScenario(name, options);
+			console.error(`${organisation.name} ${policy} ${name} done`);
+			return result;
+		});
+		return {
+			organisation: organisation.name,
+			policy,
+			scenarios: results,
+			slowDetection: measureDetection('slow', options),
+			failureDetection: measureDetection('failing', options),
+			slowServiceEjections: measureServiceSlowdown(options),
+			greedyTenant: measureGreedyTenant(options),
+			noiseEjections: noiseMinutes > 0 ? measureNoise(options, noiseMinutes) : undefined,
+		};
+	});
+}
+
+function total(results: readonly ScenarioResult[], key: keyof ScenarioResult): number {
+	return results.reduce((sum, result) => sum + Number(result[key] ?? 0), 0);
+}
+
+/** Lowest second relative to the mean of the run without a fault; the first second is incomplete. */
+function lowestService(comparison: Comparison, name: ScenarioName): number | undefined {
+	const steady = comparison.scenarios.find(({scenario}) => scenario === 'no-fault');
+	const faulty = comparison.scenarios.find(({scenario}) => scenario === name);
+	const ratios = faulty?.servedBySecond
+		.slice(0, 10)
+		.map((served, second) => served / (steady?.servedBySecond[second] ?? Number.NaN));
+	return ratios && Math.min(...ratios);
+}
+
+function percent(part: number | undefined): string {
+	return part === undefined ? 'not run' : `${(part * 100).toFixed(2)}%`;
+}
+
+function seconds(milliseconds: number | undefined): string {
+	return milliseconds === undefined ? 'never' : `${(milliseconds / 1000).toFixed(2)} s`;
+}
+
+/** A line of the table; a measure without a number to reach has no `isMet`. */
+type Row = {
+	readonly measure: string;
+	readonly target: string;
+	readonly value: (comparison: Comparison) => number | undefined;
+	readonly show: (value: number | undefined) => string;
+	readonly isMet?: (value: number | undefined) => boolean;
+	readonly isRun?: (comparison: Comparison) => boolean;
+};
+
+const count = (value: number | undefined) => (value === undefined ? 'not run' : String(value));
+
+function scenarioOf(comparison: Comparison, name: ScenarioName): ScenarioResult | undefined {
+	return comparison.scenarios.find(({scenario}) => scenario === name);
+}
+
+const hasScenario = (name: ScenarioName) => (comparison: Comparison) =>
+	scenarioOf(comparison, name) !== undefined;
+
+function rowsFor(names: readonly ScenarioName[]): Row[] {
+	const within = (limit: number) => (value: number | undefined) =>
+		value !== undefined && value <= limit;
+	const refusals = names.map((name): Row => ({
+		measure: `(a) refused within the rate, ${name}`,
+		target: name === 'no-fault' ? '<= 0.10%' : '-',
+		value(comparison) {
+			const result = scenarioOf(comparison, name);
+			return result && result.refusedWithinRate / result.arrived;
+		},
+		show: percent,
+		isMet: name === 'no-fault' ? within(0.001) : undefined,
+	}));
+	return [
+		...refusals,
+		{
+			measure: '(b) admitted above rate x time + burst, all scenarios',
+			target: '0',
+			value: ({scenarios: results}) => total(results, 'admittedAboveRate'),
+			show: count,
+			isMet: within(0),
+		},
+		{
+			measure: '(c) starts above the slots, all scenarios',
+			target: '0',
+			value: ({scenarios: results}) => total(results, 'startsAboveSlots'),
+			show: count,
+			isMet: within(0),
+		},
+		{
+			measure: '(c) starts above what a cold target bears',
+			target: '-',
+			value: ({scenarios: results}) => total(results, 'startsAboveColdSlots'),
+			show: count,
+		},
+		{
+			measure: '(d) detection of a target 10 times slower',
+			target: '<= 3 s',
+			value: ({slowDetection}) => slowDetection,
+			show: seconds,
+			isMet: within(3000),
+		},
+		{
+			measure: '(d) detection of a target that fails half',
+			target: '<= 3 s',
+			value: ({failureDetection}) => failureDetection,
+			show: seconds,
+			isMet: within(3000),
+		},
+		{
+			measure: '(d) ejections in ordinary noise',
+			target: '0',
+			value: ({noiseEjections}) => noiseEjections,
+			show: count,
+			isMet: within(0),
+			isRun: ({noiseEjections}) => noiseEjections !== undefined,
+		},
+		{
+			measure: '(d) ejections while the whole service slows',
+			target: '0',
+			value: ({slowServiceEjections}) => slowServiceEjections,
+			show: count,
+			isMet: within(0),
+		},
+		{
+			measure: '(e) worst-served workspace beside a tenant at 5 times its rate',
+			target: '>= 95%',
+			value: ({greedyTenant}) => greedyTenant.worstServed,
+			show: percent,
+			isMet: value => value !== undefined && value >= 0.95,
+		},
+		{
+			measure: '(f) lowest second while a domain leaves and returns',
+			target: '-',
+			value: comparison => lowestService(comparison, 'domain-out-and-in'),
+			show: percent,
+		},
+		{
+			measure: '(g) last start on a domain after it was taken out',
+			target: '<= 3 s',
+			value: comparison => scenarioOf(comparison, 'domain-out-and-in')?.lastStartAfterOut,
+			show: seconds,
+			isMet: within(3000),
+			isRun: hasScenario('domain-out-and-in'),
+		},
+		{
+			measure: '(g) configuration change in force everywhere',
+			target: '<= 3 s',
+			value: comparison => scenarioOf(comparison, 'configuration-change')?.spreadTime,
+			show: seconds,
+			isMet: within(3000),
+			isRun: hasScenario('configuration-change'),
+		},
+		{
+			measure: '(h) one crash: requests lost',
+			target: '-',
+			value: comparison => scenarioOf(comparison, 'one-crash')?.lost,
+			show: count,
+		},
+		{
+			measure: '(h) one crash: refused within the rate',
+			target: '-',
+			value: comparison => scenarioOf(comparison, 'one-crash')?.refusedWithinRate,
+			show: count,
+		},
+		{
+			measure: '(h) one crash: lowest second',
+			target: '-',
+			value: comparison => lowestService(comparison, 'one-crash'),
+			show: percent,
+		},
+	];
+}
+
+function verdicts(comparisons: readonly Comparison[], names: readonly ScenarioName[]): Verdict[] {
+	return organisations.flatMap(({name}) => {
+		const [fleet, local] = policies.map(policy =>
+			comparisons.find(item => item.organisation === name && item.policy === policy)!,
+		);
+		return rowsFor(names).map(({measure, target, value, show, isMet, isRun}) => {
+			const hasRun = isRun?.(fleet!) ?? true;
+			const meets = isMet?.(value(fleet!)) ? 'yes' : 'no';
+			return {
+				organisation: name,
+				measure,
+				target,
+				fleet: show(value(fleet!)),
+				local: show(value(local!)),
+				fleetMeets: hasRun ? (isMet === undefined ? '-' : meets) : 'not run',
+			};
+		});
+	});
+}
+
+async function runInWorker(index: number, settings: Settings): Promise<Comparison[]> {
+	return new Promise((resolve, reject) => {
+		const worker = new Worker(new URL(import.meta.url), {workerData: {index, settings}});
+		worker.once('message', resolve);
+		worker.once('error', reject);
+	});
+}
+
+async function main(): Promise<void> {
+	const {values} = parseArgs({
+		options: {
+			seed: {type: 'string', default: '1'},
+			instances: {type: 'string', default: '48'},
+			scenarios: {type: 'string', default: Object.keys(scenarios).join(',')},
+			'noise-minutes': {type: 'string', default: '60'},
+		},
+	});
+	const settings: Settings = {
+		seed: Number(values.seed),
+		instances: Number(values.instances),
+		noiseMinutes: Number(values['noise-minutes']),
+		scenarios: values.scenarios.split(',') as ScenarioName[],
+	};
+	const results = await Promise.all(
+		organisations.map(async (_, index) => runInWorker(index, settings)),
+	);
+	const comparisons = results.flat();
+	const table = verdicts(comparisons, settings.scenarios);
+	console.table(table);
+	mkdirSync('reports', {recursive: true});
+	writeFileSync('reports/compare.json', JSON.stringify({settings, table, comparisons}, null, '\t'));
+	writeFileSync('reports/compare.svg', plotComparison(comparisons));
+}
+
+if (isMainThread) {
+	await main();
+} else {
+	const {index, settings} = workerData as {index: number; settings: Settings};
+	parentPort!.postMessage(compareOrganisation(index, settings));
+}
--- a/packages/replay/src/scenarios.ts
+++ b/packages/replay/src/scenarios.ts
@@ -4,6 +4,7 @@
  */
 import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
 import {type Fleet, type FleetOptions} from './fleet-harness.js';
+import {sendBurst} from './traffic.js';
 
 export type ScenarioInput = {
 	readonly fleet: Fleet;
@@ -68,6 +69,15 @@
 
 export const scenarios = {
 	'no-fault': {begin() {}}, // eslint-disable-line @typescript-eslint/no-empty-function -- nothing happens
+	/** Each workspace sends twice its burst at once, which no limiter admits in full. */
+	bursts: {
+		begin({fleet, from}) {
+			const [service] = Object.keys(fleet.document.services);
+			for (const [index, workspace] of Object.keys(fleet.document.workspaces).entries()) {
+				sendBurst(fleet, {at: from + index * 1000, workspace, service: service!, factor: 2});
+			}
+		},
+	},
 	'one-way-cuts': {
 		begin(input) {
 			const {fleet, random} = input;
