--- a/packages/shallotpond/src/main.ts
+++ b/packages/shallotpond/src/main.ts
@@ -51,7 +51,9 @@
 		const {values, positionals} = parseSettings(input);
 		const [name = 'daemon', ...rest] = positionals;
 		if (!Object.hasOwn(commands, name) || rest.length > 0) {
-			throw new SettingsError([`${positionals.join(' ')}: unknown command; allowed: demo`]);
+			throw new SettingsError([
+				`${positionals.join(' ')}: is not a command; must be demo or nothing`,
+			]);
 		}
 
 		await commands[name]!(values);
