Separate the faults of the fleet test and say which targets stay idle

Cause: in one run a request that had waited since the kill was still queued when the next fault began, and reached its deadline during both.

Change: the kill ends only when the backlog is over; the figures name the slowest answers; a target that gets no work is reported with its coordinator.

In two runs before, a target got no work for 20 s after the graceful stop; that is being traced.

--- a/packages/shallotpond/src/__tests__/fleet-processes.test.ts
+++ b/packages/shallotpond/src/__tests__/fleet-processes.test.ts
@@ -149,9 +149,28 @@
 /** Resolves when each target of the service got a request that arrived after this call. */
 async function untilAllTargetsWork(list: readonly CountingTarget[]): Promise<void> {
 	const start = performance.now();
-	await until('every target gets work', () =>
-		list.every(({runs}) => (runs.at(-1)?.arrivedAt ?? 0) > start),
-	);
+	const idle = () => list.filter(({runs}) => (runs.at(-1)?.arrivedAt ?? 0) <= start);
+	try {
+		await until('every target gets work', () => idle().length === 0);
+	} catch (error) {
+		const ids = new Set(idle().map(({id}) => id));
+		const lines: string[] = [];
+		for (const instance of fleet) {
+			const status = await readStatus(instance);
+			const own = status?.targets.filter(({id}) => ids.has(id));
+			lines.push(`${instance.peerAddress}: ${JSON.stringify(own)}`);
+		}
+
+		throw new Error(`idle targets, as the instances see them:\n${lines.join('\n')}`, {
+			cause: error,
+		});
+	}
+}
+
+/** Resolves when the requests that are in progress now are over, so that faults do not overlap. */
+async function untilBacklogIsOver(): Promise<void> {
+	const backlog = new Set(load.inProgress);
+	await until('the backlog is over', () => !load.inProgress.some(request => backlog.has(request)));
 }
 
 /** What the callers of these instances got since then. */
@@ -209,6 +228,10 @@
 function countRefused(name: string, outcomes: readonly RequestOutcome[]): void {
 	const own = outcomes.filter(({workspace}) => workspace === 'steady');
 	figures[`${name}: requests within the rate`] = own.length;
+	const answered = own.filter(({id, status}) => status === 200 && id.startsWith('quick-'));
+	const times = answered.map(({sentAt, endedAt}) => endedAt - sentAt);
+	figures[`${name}: slowest answer, milliseconds`] = Math.round(Math.max(0, ...times));
+	figures[`${name}: answers after more than 1 s`] = times.filter(time => time > 1000).length;
 	for (const {status, code} of own) {
 		if (status !== 200) {
 			const figure = `${name}: ${status ?? 'broken'} ${code ?? ''}`;
@@ -333,6 +356,7 @@
 
 			await untilAllTargetsWork(targets.work);
 			const ends = await Promise.all(downloads);
+			await untilBacklogIsOver();
 			const outcomes = outcomesOf(healthy, start);
 			countRefused('kill', outcomes);
 			// A download that the killed instance cut must never look complete.
