Count only the crash of a lone trial as the second crash of a request

Cause: copies of a popular request that were in flight on two targets which die together, as when a rack fails, had the request refused everywhere for ten minutes. Change: after the first crash, only a copy that was sent alone (the trial) can block the request. Copies in flight together before the first crash is known reach their targets and one more.

--- a/packages/policy-requests/src/__tests__/crash.test.ts
+++ b/packages/policy-requests/src/__tests__/crash.test.ts
@@ -159,6 +159,19 @@
 		expect(fleet.messages).toBe(before);
 	});
 
+	test('a popular request whose targets die together is not refused', () => {
+		const fleet = createFleet(5);
+		const together = fleet.check(['a', 'b', 'c']);
+		for (const [index, attempt] of together.entries()) {
+			fleet.crash(attempt, `dead ${index}`);
+		}
+
+		const [trial, ...others] = fleet.check(['d', 'e']);
+		expect([trial === undefined, others]).toEqual([false, []]);
+		fleet.finish(trial!, true);
+		expect(fleet.check(members)).toHaveLength(5);
+	});
+
 	test('a copy that waits for a trial goes on when the trial is answered', () => {
 		const fleet = createFleet(4);
 		fleet.crash({name: 'a'}, 'first');
--- a/packages/policy-requests/src/crash-registry.ts
+++ b/packages/policy-requests/src/crash-registry.ts
@@ -7,7 +7,7 @@
  * entry instance answers its caller after that, so a caller that sends the request again meets the
  * new state on every instance. This stops holding when a member cannot be reached, when the owner
  * changes while a notice is on its way, when copies are in flight at the same time before the first
- * crash is known, and when more fingerprints crash within ten minutes than the tables hold.
+ * crash is known (they and one trial reach a target each), and when more fingerprints crash within ten minutes than the tables hold.
  *
  * A notice costs one message per member, so this is for crashes, not for ordinary failures.
  */
@@ -192,6 +192,13 @@
 	const trial = isTrial ? undefined : known?.trial;
 	const revision = (known?.revision ?? 0) + 1;
 	if (result === 'crashed' && target !== undefined) {
+		// Copies that were in flight together on targets that died together, as when a rack fails, say
+		// nothing of the request. Only a copy that was sent alone after the first crash does.
+		const isEvidence = known === undefined || known.targets.length === 0 || isTrial;
+		if (!isEvidence) {
+			return undefined;
+		}
+
 		const targets = [...new Set([...(known?.targets ?? []), target])].slice(0, mostCrashedTargets);
 		const isKnown = targets.length === known?.targets.length && !isTrial;
 		return isKnown
