Cancel watches of the configuration service that an instance ends

The harness ignored stop-watch, so every instance kept the watch that it began alone at its start, and a change was in force everywhere after 0.03 s.

--- a/packages/replay/src/fleet-harness.ts
+++ b/packages/replay/src/fleet-harness.ts
@@ -172,6 +172,11 @@
 	drainTarget(target: string, isLeaving: boolean): void;
 };
 
+type Watch = {
+	readonly callback: (document: FleetDocument | undefined) => void;
+	isCancelled: boolean;
+};
+
 const listInterval = 500;
 const defaultLag = 1000;
 const defaultTimeout = 2000;
@@ -206,8 +211,7 @@
 	const arrivals = new Map<string, {at: number; isWithinRate: boolean; instance: number}>();
 	const errorsInRow = new Map<string, number>();
 	const ledgers = new Map<string, RateLedger>();
-	const watches: Array<{after: number; callback: (document: FleetDocument | undefined) => void}> =
-		[];
+	const watches: Watch[] = [];
 	const changedAt = new Map<number, number>();
 	const spreadTimes = new Map<number, number | undefined>();
 	const leavingTargets = new Set<string>();
@@ -357,19 +361,23 @@
 				});
 			};
 		},
-		readDocument(_after, callback) {
+		readDocument(callback) {
 			schedule(configurationDelay, () => {
 				callback(isServiceReachable ? document : undefined);
 			});
 		},
 		watchDocument(after, callback) {
+			const watch = {callback, isCancelled: false};
 			schedule(configurationDelay, () => {
 				if (!isServiceReachable || document.version > after) {
-					callback(isServiceReachable ? document : undefined);
+					answerWatch(watch);
 				} else {
-					watches.push({after, callback});
+					watches.push(watch);
 				}
 			});
+			return () => {
+				watch.isCancelled = true;
+			};
 		},
 		onAdmitted({workspace}) {
 			ledgerOf(workspace).admit(now());
@@ -524,11 +532,17 @@
 		return live[Math.floor(entryRandom() * live.length)]?.index ?? 0;
 	}
 
+	function answerWatch({callback, isCancelled}: Watch): void {
+		if (!isCancelled) {
+			callback(isServiceReachable ? document : undefined);
+		}
+	}
+
 	function answerWatches(): void {
-		const callbacks = watches.splice(0).map(({callback}) => callback);
+		const answered = watches.splice(0);
 		schedule(configurationDelay, () => {
-			for (const callback of callbacks) {
-				callback(isServiceReachable ? document : undefined);
+			for (const watch of answered) {
+				answerWatch(watch);
 			}
 		});
 	}
--- a/packages/replay/src/fleet-instance.ts
+++ b/packages/replay/src/fleet-instance.ts
@@ -41,6 +41,7 @@
 import {heartbeatInterval, lenderLeaseDuration} from '@shallotpond/policy-membership/timing';
 import {
 	createVersionSpread,
+	type SpreadDecision,
 	type SpreadOutcome,
 	type SpreadRequest,
 	type VersionSpread,
@@ -80,8 +81,9 @@
 		onAnswer: (result: SlotResult, generation: string) => void,
 	): () => void;
 	/** The configuration service; the callback gets undefined when it cannot be reached. */
-	readDocument(after: number, callback: (document: FleetDocument | undefined) => void): void;
-	watchDocument(after: number, callback: (document: FleetDocument | undefined) => void): void;
+	readDocument(callback: (document: FleetDocument | undefined) => void): void;
+	/** Returns what cancels the watch. */
+	watchDocument(after: number, callback: (document: FleetDocument | undefined) => void): () => void;
 	onAdmitted(request: FleetRequest): void;
 	onRefused(request: FleetRequest, cause: RefusalCause): void;
 	onDone(request: FleetRequest, result: SlotResult): void;
@@ -174,6 +176,7 @@
 	let depth = 0;
 	let nextPull = 0;
 	let isEnded = false;
+	let cancelWatch: (() => void) | undefined;
 
 	const limits = (workspace: string) => document.workspaces[workspace];
 	const minorityFraction = () => document.minorityFraction;
@@ -423,6 +426,30 @@
 		});
 	}
 
+	function start(decision: SpreadDecision): void {
+		if (decision.kind === 'stop-watch') {
+			cancelWatch?.();
+			return;
+		}
+
+		if (decision.kind === 'pull') {
+			pull(decision);
+			return;
+		}
+
+		const finish = (found: FleetDocument | undefined) => {
+			whenAwake(() => {
+				finishRequest(decision, found);
+			});
+		};
+
+		if (decision.kind === 'watch') {
+			cancelWatch = host.watchDocument(decision.after, finish);
+		} else {
+			host.readDocument(finish);
+		}
+	}
+
 	function spreadVersions(): void {
 		const input = {
 			members: membership.view(now()).members,
@@ -430,20 +457,7 @@
 			peers: membership.configurations(now()),
 		};
 		for (const decision of spread.decide(input, now())) {
-			if (decision.kind === 'stop-watch') {
-				continue;
-			}
-
-			if (decision.kind === 'pull') {
-				pull(decision);
-			} else {
-				const read = decision.kind === 'watch' ? host.watchDocument : host.readDocument;
-				read(decision.kind === 'watch' ? decision.after : 0, found => {
-					whenAwake(() => {
-						finishRequest(decision, found);
-					});
-				});
-			}
+			start(decision);
 		}
 	}
 
