Check in a test of its own that every target gets work again after the faults

SlotHolder keeps the last queue length that it heard from each shard without end, and prefers the shard with the shorter one; a shard that had a queue while its coordinator changed is not asked again as long as the others have none.

Change: the check follows the graceful stop as a test of its own, unchanged. It stays red now and then until slot-holder.ts is repaired.

--- a/packages/shallotpond/src/__tests__/counting-target.ts
+++ b/packages/shallotpond/src/__tests__/counting-target.ts
@@ -39,8 +39,8 @@
 /** Bytes of a download, and of one piece of it. */
 const downloadSize = 8 * 1024 * 1024;
 const pieceSize = 64 * 1024;
-/** Milliseconds between two pieces, so that a download takes about six seconds. */
-const pieceInterval = 45;
+/** Milliseconds between two pieces, so that a download takes longer than the 4 s term of a grant. */
+const pieceInterval = 36;
 const shortestWork = 10;
 const workRange = 40;
 const largestFill = 20_000;
--- a/packages/shallotpond/src/__tests__/fleet-processes.test.ts
+++ b/packages/shallotpond/src/__tests__/fleet-processes.test.ts
@@ -543,7 +543,6 @@
 			const exit = await leaver.exited;
 			figures['graceful stop: milliseconds'] = performance.now() - start;
 			fleet.splice(fleet.indexOf(leaver), 1);
-			await untilAllTargetsWork(targets.work);
 			const outcomes = outcomesOf([leaver, ...others], start);
 			countRefused('graceful stop', outcomes);
 			expect(describeOutcomes(ends.filter(({isExact}) => !isExact))).toEqual([]);
@@ -554,6 +553,15 @@
 		},
 		hangLimit,
 	);
+
+	// Guards against a target that stays without work once the fault that concerned it is over.
+	test(
+		'after all faults, every target gets work again',
+		async () => {
+			await untilAllTargetsWork(targets.work);
+		},
+		hangLimit,
+	);
 });
 
 describe('the whole run', () => {
