Fail readiness on the minority side of a cut

Change: an instance whose view holds less than half of maxInstances is not ready while the platform lists more than half as live; readiness is a pure function.

--- /dev/null
+++ b/packages/shallotpond/src/__tests__/readiness.test.ts
@@ -0,0 +1,34 @@
+import {describe, expect, test} from '@jest/globals';
+import {decideReadiness, type ReadinessInput} from '../readiness.js';
+
+const ready: ReadinessInput = {
+	isStopping: false,
+	hasConfiguration: true,
+	isLending: true,
+	isIsolated: false,
+	members: 40,
+	listedLive: 40,
+	maxInstances: 48,
+};
+const reasonOf = (changes: Partial<ReadinessInput>) =>
+	decideReadiness({...ready, ...changes}).reason;
+
+describe('readiness', () => {
+	test('a minority is not ready while the platform lists a majority, so that callers go there', () => {
+		expect(reasonOf({members: 12})).toBe('cut off from most of the fleet');
+		expect(reasonOf({members: 36})).toBe('ready');
+	});
+
+	test('a fleet that is small as a whole, or halved, goes on serving', () => {
+		expect(reasonOf({members: 20, listedLive: 20})).toBe('ready');
+		expect(reasonOf({members: 24, listedLive: 48})).toBe('ready');
+		expect(reasonOf({members: 1, listedLive: 2, maxInstances: 2})).toBe('ready');
+	});
+
+	test('the first obstacle is named, so that a stop is not taken for a fault', () => {
+		expect(reasonOf({isStopping: true, isIsolated: true})).toBe('stopping');
+		expect(reasonOf({hasConfiguration: false, isLending: false})).toBe('no configuration yet');
+		expect(reasonOf({isLending: false})).toContain('earlier process');
+		expect(reasonOf({isIsolated: true})).toContain('neither');
+	});
+});
--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -24,6 +24,7 @@
 import {createPeerRouter, type PeerRouter} from './peer-router.js';
 import {createPlatformService, type PlatformService} from './platform-service.js';
 import {createRatesService, type RatesService} from './rates-service.js';
+import {decideReadiness} from './readiness.js';
 import {createRequestPolicy} from './request-policy.js';
 import {createRequestTracer} from './request-tracer.js';
 import {createRequestsService, type RequestsService} from './requests-service.js';
@@ -217,23 +218,16 @@
 	kernel.provide('callers', callers);
 
 	function readiness() {
-		if (isStopping) {
-			return {isReady: false, reason: 'stopping'};
-		}
-
-		if (!spread.isSettled) {
-			return {isReady: false, reason: 'no configuration yet'};
-		}
-
-		// Until then, every request that needs a token would be refused although it is within the rate.
-		if (!membership.isLending(clock.monotonic())) {
-			return {isReady: false, reason: 'waiting for leases of an earlier process to end'};
-		}
-
-		const isIsolated = membership.membership.isIsolated(clock.monotonic());
-		return isIsolated
-			? {isReady: false, reason: 'neither the configuration service nor any peer is reached'}
-			: {isReady: true, reason: 'ready'};
+		const now = clock.monotonic();
+		return decideReadiness({
+			isStopping,
+			hasConfiguration: spread.isSettled,
+			isLending: membership.isLending(now),
+			isIsolated: membership.membership.isIsolated(now),
+			members: membership.membership.view(now).members.length,
+			listedLive: membership.membership.status(now).listedLive,
+			maxInstances: configuration.tables?.document.fleet.maxInstances ?? 1,
+		});
 	}
 
 	async function sleep(milliseconds: number): Promise<void> {
