Create no spans below a hop that is not sampled

Each hop started a span and copied a context, although the parent based sampler refuses all hops of a trace that is not sampled. Such hops now share the unrecorded span of the request, whose traceparent is passed on. Contexts are made only where a hop has children.

--- a/packages/observability/src/tracing.ts
+++ b/packages/observability/src/tracing.ts
@@ -45,6 +45,8 @@
 	/** Header value to send on, with this span as the parent. */
 	readonly traceparent: string;
 	readonly context: Context;
+	/** False for a hop of a trace that is not sampled, whose spans go nowhere. */
+	readonly isRecorded: boolean;
 	annotate(attributes: Readonly<Record<string, string | number | boolean>>): void;
 	/** Ends the span, as failed when a reason is given. */
 	end(failure?: string): void;
@@ -88,7 +90,10 @@
 	const {traceId, spanId, traceFlags} = span.spanContext();
 	return {
 		traceparent: `00-${traceId}-${spanId}-${traceFlags.toString(16).padStart(2, '0')}`,
-		context: trace.setSpan(parent, span),
+		get context() {
+			return trace.setSpan(parent, span);
+		},
+		isRecorded: span.isRecording(),
 		annotate(attributes) {
 			span.setAttributes(attributes);
 		},
@@ -122,6 +127,11 @@
 
 	return {
 		startHop({name, kind = 'internal', traceparent, parent, attributes = {}}) {
+			if (parent?.isRecorded === false) {
+				// The sampler would refuse every hop below it, so they need no span of their own.
+				return parent;
+			}
+
 			const context = parent?.context ?? contextFromTraceparent(traceparent);
 			return createHop(
 				tracer.startSpan(name, {kind: spanKinds[kind], attributes}, context),
