Hash the key once, and the fingerprint only under suspicion

The crash guard allows every fingerprint while it knows no suspect, so the fingerprint is computed at the first check that meets a suspect, or when a connection broke.

--- a/packages/configuration/src/lookup-tables.ts
+++ b/packages/configuration/src/lookup-tables.ts
@@ -26,6 +26,8 @@
 	 * time does not depend on how much of a guessed key is right.
 	 */
 	findWorkspace(key: string): string | undefined;
+	/** As `findWorkspace`, for a digest that `digestKey` made. */
+	findWorkspaceByDigest(digest: string): string | undefined;
 	isActiveKeyDigest(digest: string, workspace: string): boolean;
 	findTarget(id: string): TargetDefinition | undefined;
 	isDomainActive(failureDomain: string): boolean;
@@ -85,6 +87,7 @@
 			return undefined;
 		},
 		findWorkspace: key => workspaceByDigest.get(digestKey(key)),
+		findWorkspaceByDigest: digest => workspaceByDigest.get(digest),
 		isActiveKeyDigest: (digest, workspace) => workspaceByDigest.get(digest) === workspace,
 		findTarget: id => targets.get(id),
 		isDomainActive: failureDomain => document.failureDomains[failureDomain]?.state === 'in',
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -61,8 +61,8 @@
 	/** Names and values by turns, without the key, framing, deadline and trace. */
 	readonly headers: readonly string[];
 	readonly body: RequestBody;
-	/** Digest of workspace, method, path and body. */
-	readonly fingerprint: string;
+	/** Returns the digest of workspace, method, path and body, computed at the first call. */
+	readonly fingerprint: () => string;
 	/** Monotonic milliseconds before which a claimed idempotency key allows the first byte. */
 	readonly startBefore?: number;
 	/** Monotonic milliseconds until which the head of an answer must have come. */
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -119,7 +119,8 @@
 	}
 
 	const key = found.kind === 'found' ? found.key : undefined;
-	const owner = key === undefined ? undefined : tables.findWorkspace(key);
+	const digest = key === undefined ? undefined : digestKey(key);
+	const owner = digest === undefined ? undefined : tables.findWorkspaceByDigest(digest);
 	if (owner === undefined && !route.open) {
 		return key === undefined ? 'missing-key' : 'unknown-key';
 	}
@@ -134,7 +135,7 @@
 		head,
 		route,
 		key,
-		keyDigest: key === undefined || owner === undefined ? undefined : digestKey(key),
+		keyDigest: owner === undefined ? undefined : digest,
 		workspace: owner ?? openRouteWorkspace(route),
 		path,
 	};
@@ -144,11 +145,7 @@
 	return (route.onIsolation ?? (route.open ? 'serve' : 'refuse')) === 'refuse';
 }
 
-function createFingerprint(
-	authorized: AuthorizedRequest,
-	method: string,
-	body: RequestBody,
-): string {
+function hashRequest(authorized: AuthorizedRequest, method: string, body: RequestBody): string {
 	const hash = createHash('sha256');
 	hash.update(`${authorized.workspace}\0${method}\0${authorized.path}\0`);
 	if (body.whole !== undefined) {
@@ -158,6 +155,18 @@
 	return hash.digest('hex');
 }
 
+function createFingerprint(
+	authorized: AuthorizedRequest,
+	method: string,
+	body: RequestBody,
+): () => string {
+	let fingerprint: string | undefined;
+	return () => {
+		fingerprint ??= hashRequest(authorized, method, body);
+		return fingerprint;
+	};
+}
+
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
 	const {policy, clock, limits, forwarder} = options;
 
--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -123,10 +123,11 @@
 	/** Claims an idempotency key for the first request that carries it. */
 	claimIdempotencyKey(request: IdempotencyRequest): Promise<IdempotencyClaim | Refusal>;
 	/**
-	 * Asked before each attempt; refuses a request that has crashed targets. `fingerprint` is a
-	 * digest. Waits while another copy of a suspect request is being tried.
+	 * Asked before each attempt; refuses a request that has crashed targets. `fingerprint` returns a
+	 * digest, which is computed only while any request is under suspicion, or after a crash. Waits
+	 * while another copy of a suspect request is being tried.
 	 */
-	clearFingerprint(fingerprint: string, deadline: number): Promise<CrashClearance | Refusal>;
+	clearFingerprint(fingerprint: () => string, deadline: number): Promise<CrashClearance | Refusal>;
 	/** Counts a real request; the budget for retries and hedges grows with these. */
 	countRequest(): void;
 	/** Takes one retry or hedge from the budget. */
--- a/packages/policy-requests/src/crash-guard.ts
+++ b/packages/policy-requests/src/crash-guard.ts
@@ -43,6 +43,8 @@
 };
 
 export type CrashGuard = {
+	/** While false, `check` allows every fingerprint, so that none needs to be computed. */
+	readonly hasSuspects: boolean;
 	/** Must be called before each attempt, also before a retry. A wait ends by `deadline`. */
 	check(
 		fingerprint: string,
@@ -197,6 +199,9 @@
 	}
 
 	return {
+		get hasSuspects() {
+			return table.size + unrecorded.size > 0;
+		},
 		check(fingerprint, deadline, now) {
 			const turn = createTurn(now);
 			const local = checkLocally(fingerprint, now);
--- a/packages/shallotpond/src/requests-service.ts
+++ b/packages/shallotpond/src/requests-service.ts
@@ -51,7 +51,7 @@
 export type RequestsService = Service & {
 	claim(request: IdempotencyRequest): Promise<IdempotencyClaim | Refusal>;
 	/** Asked before each attempt. */
-	clear(fingerprint: string, deadline: number): Promise<CrashClearance | Refusal>;
+	clear(fingerprint: () => string, deadline: number): Promise<CrashClearance | Refusal>;
 	countRequest(): void;
 	takeRetry(): boolean;
 	/** Asks the members to take over the keys that this instance remembers. */
@@ -122,12 +122,16 @@
 		return settled;
 	}
 
-	function clearanceOf(fingerprint: string, trial: CrashTicket | undefined): CrashClearance {
+	function clearanceOf(fingerprint: () => string, trial: CrashTicket | undefined): CrashClearance {
 		return {
 			kind: 'allowed',
 			async reportCrash(target) {
 				metrics.count('crashed-targets');
-				const report = {fingerprint, target, ...(trial !== undefined && {trial})};
+				const report = {
+					fingerprint: fingerprint(),
+					target,
+					...(trial !== undefined && {trial}),
+				};
 				const turn = crashGuard.reportCrash(report, clock.monotonic());
 				await untilChecked(turn.ticket, turn);
 			},
@@ -214,7 +218,11 @@
 			};
 		},
 		async clear(fingerprint, deadline) {
-			const turn = crashGuard.check(fingerprint, deadline, clock.monotonic());
+			if (!crashGuard.hasSuspects) {
+				return clearanceOf(fingerprint, undefined);
+			}
+
+			const turn = crashGuard.check(fingerprint(), deadline, clock.monotonic());
 			if (turn.check.kind !== 'wait') {
 				runCrash(turn);
 				return turn.check.kind === 'refused'
