Keep the open grant in the progress of a request, not in a weak set

Each request added an entry to a WeakSet, which the garbage collector has to look through, and copied its description by two spreads, which took 3% of the profile (1% with named fields).

--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -64,7 +64,7 @@
 	/** Returns the digest of workspace, method, path and body, computed at the first call. */
 	readonly fingerprint: () => string;
 	/** Monotonic milliseconds before which a claimed idempotency key allows the first byte. */
-	readonly startBefore?: number;
+	readonly startBefore: number | undefined;
 	/** Monotonic milliseconds until which the head of an answer must have come. */
 	readonly deadline: number;
 	readonly cancellation: Cancellation;
@@ -98,6 +98,8 @@
 };
 
 type Progress = {
+	/** The grant of the try in progress, until it is released. */
+	openGrant: SlotGrant | undefined;
 	attempts: number;
 	crashes: number;
 	/** The worst of all tries. */
@@ -181,7 +183,6 @@
 
 export function createForwarder(options: ForwarderOptions): Forwarder {
 	const {policy, clock, limits, counters, connections} = options;
-	const releasedGrants = new WeakSet<SlotGrant>();
 
 	function isIdempotent(request: ForwardedRequest): boolean {
 		return request.route.idempotentMethods.includes(request.method);
@@ -250,8 +251,13 @@
 		request.response.writeHead(answer.statusCode!, headers);
 	}
 
-	function release(grant: SlotGrant, times: AttemptTimes, result: AttemptResult): void {
-		releasedGrants.add(grant);
+	function release(
+		progress: Progress,
+		grant: SlotGrant,
+		times: AttemptTimes,
+		result: AttemptResult,
+	): void {
+		progress.openGrant = undefined;
 		counters.increment('attempts', result);
 		const {dispatched, headAt, generation} = times;
 		const now = clock.monotonic();
@@ -337,24 +343,24 @@
 		const {answer} = attempt;
 		const {end} = await pump(request, progress, grant, answer);
 		if (end === 'complete') {
-			release(grant, times, answer.statusCode! >= 500 ? 'error' : 'ok');
+			release(progress, grant, times, answer.statusCode! >= 500 ? 'error' : 'ok');
 			endAnswer(request.response, answer);
 			return {kind: 'delivered'};
 		}
 
 		if (end === 'blank') {
-			release(grant, times, 'incomplete');
+			release(progress, grant, times, 'incomplete');
 			return {kind: 'setback', code: 'incomplete-answer', runState: 'ran'};
 		}
 
 		// The connection still owes bytes, so nothing may use it again.
 		attempt.destroy();
 		if (end === 'cancelled') {
-			release(grant, times, 'cancelled');
+			release(progress, grant, times, 'cancelled');
 			return {kind: 'setback', code: 'cancelled', runState: 'may-have-run'};
 		}
 
-		release(grant, times, end === 'stalled' ? 'timeout' : 'incomplete');
+		release(progress, grant, times, end === 'stalled' ? 'timeout' : 'incomplete');
 		if (end === 'stalled') {
 			connections.discardIdle(grant.target);
 		}
@@ -395,7 +401,7 @@
 		});
 
 		if (attempt.kind === 'failed') {
-			release(grant, {dispatched}, attempt.result);
+			release(progress, grant, {dispatched}, attempt.result);
 			hop.end(attempt.result);
 			if (attempt.result === 'connection-broken') {
 				progress.crashes++;
@@ -418,7 +424,7 @@
 		const refused = checkAnswerHead(request, progress, answer);
 		if (refused !== undefined) {
 			attempt.destroy();
-			release(grant, times, refused.result);
+			release(progress, grant, times, refused.result);
 			hop.end(refused.result);
 			return refused.setback;
 		}
@@ -435,11 +441,12 @@
 		grant: SlotGrant,
 		clearance: CrashClearance,
 	): Promise<ForwardResult | Setback> {
+		progress.openGrant = grant;
 		try {
 			return await tryTarget(request, progress, grant, clearance);
 		} finally {
-			if (!releasedGrants.has(grant)) {
-				release(grant, {dispatched: clock.monotonic()}, 'cancelled');
+			if (progress.openGrant === grant) {
+				release(progress, grant, {dispatched: clock.monotonic()}, 'cancelled');
 				clearance.finish(false);
 			}
 		}
@@ -527,6 +534,7 @@
 	return {
 		async forward(request) {
 			const progress: Progress = {
+				openGrant: undefined,
 				attempts: 0,
 				crashes: 0,
 				runState: 'not-run',
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -271,12 +271,15 @@
 		let result: ForwardResult | undefined;
 		try {
 			result = await forwarder.forward({
-				...authorized,
+				route: authorized.route,
+				workspace: authorized.workspace,
+				keyDigest: authorized.keyDigest,
+				path: authorized.path,
 				method: request.method!,
 				headers: targetHeaders(request, authorized.key),
 				body,
 				fingerprint,
-				...(claimed !== undefined && {startBefore: claimed.startBefore}),
+				startBefore: claimed?.startBefore,
 				deadline,
 				cancellation,
 				span,
