Start the timer for a slow caller at the first back-pressure; name the fields of open grants

Every answer set a timer for a caller that takes nothing, although most answers fit into the buffers of the connection. Open grants were copied by a spread, which took 1% of the profile.

--- a/packages/io-http/src/answer-pump.ts
+++ b/packages/io-http/src/answer-pump.ts
@@ -7,7 +7,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {onAbort} from './cancellation.js';
-import {createSilenceTimer} from './silence-timer.js';
+import {createSilenceTimer, type SilenceTimer} from './silence-timer.js';
 import {type StopSignal} from './stop-signal.js';
 
 export type PumpEnd =
@@ -59,10 +59,8 @@
 		const targetTimer = createSilenceTimer(clock, options.stallTimeout, () => {
 			finish('stalled');
 		});
-		const callerTimer = createSilenceTimer(clock, options.callerStallTimeout, () => {
-			finish('cancelled');
-		});
-		callerTimer.suspend();
+		/** Most answers fit into the buffers of the connection and never need this timer. */
+		let callerTimer: SilenceTimer | undefined;
 		let stopListening: () => void = () => undefined;
 
 		function finish(end: PumpEnd): void {
@@ -72,20 +70,31 @@
 
 			isDone = true;
 			targetTimer.stop();
-			callerTimer.stop();
+			callerTimer?.stop();
 			stopListening();
 			answer.off('data', receive).off('end', complete).off('close', cut);
 			response.off('drain', goOn);
 			resolve({end, passedOn});
 		}
 
+		function watchCaller(): void {
+			if (callerTimer !== undefined) {
+				callerTimer.touch();
+				return;
+			}
+
+			callerTimer = createSilenceTimer(clock, options.callerStallTimeout, () => {
+				finish('cancelled');
+			});
+		}
+
 		function passOn(chunk: Uint8Array): void {
 			passedOn += chunk.length;
 			if (!response.write(chunk)) {
 				// While the caller reads slowly, the silence of the target is not its fault.
 				answer.pause();
 				targetTimer.suspend();
-				callerTimer.touch();
+				watchCaller();
 			}
 		}
 
@@ -125,7 +134,7 @@
 		}
 
 		function goOn(): void {
-			callerTimer.suspend();
+			callerTimer?.suspend();
 			targetTimer.touch();
 			answer.resume();
 		}
--- a/packages/policy-dispatch/src/coordinated-target.ts
+++ b/packages/policy-dispatch/src/coordinated-target.ts
@@ -22,7 +22,7 @@
 	/** Milliseconds of slot time charged at dispatch; 0 for grants of a predecessor. */
 	readonly estimate: number;
 	/** Absent for grants of a predecessor. */
-	readonly answer?: SlotGrantMessage;
+	readonly answer?: SlotGrantMessage | undefined;
 	/** Monotonic milliseconds. */
 	expiresAt: number;
 };
@@ -75,8 +75,20 @@
 		unknownUntil: options.connectionsUnknownUntil,
 	});
 
-	function hold(grant: Omit<OpenGrant, 'expiresAt'>, time: number): void {
-		grants.set(grant.grant, {...grant, expiresAt: time + countedTerm});
+	function hold(open: Omit<OpenGrant, 'expiresAt'>, time: number): void {
+		const {grant, holder, workspace, warmSlots, keepConnection, estimate, answer} = open;
+		const expiresAt = time + countedTerm;
+		// Named fields, because a spread of objects with and without an answer takes a slow path.
+		grants.set(grant, {
+			grant,
+			holder,
+			workspace,
+			warmSlots,
+			keepConnection,
+			estimate,
+			answer,
+			expiresAt,
+		});
 	}
 
 	function isWithin(cap: number, grant: string): boolean {
