--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -4,6 +4,7 @@
  */
 import {type TargetDefinition} from '@shallotpond/configuration/document-schema';
 import {type LookupTables} from '@shallotpond/configuration/lookup-tables';
+import {type StopSignal} from './stop-signal.js';
 
 /** Whether a request ran at a target. `not-run` is said only where it is proved. */
 export type RunState = 'not-run' | 'may-have-run' | 'ran';
@@ -53,7 +54,7 @@
 	readonly kind: 'granted';
 	readonly target: TargetDefinition;
 	/** Aborts when the grant could not be renewed, or the target must not get the request any more. */
-	readonly signal: AbortSignal;
+	readonly signal: StopSignal;
 	/** Whether the connection may stay open and idle after the answer. */
 	readonly keepsConnection: boolean;
 	/**
@@ -70,7 +71,7 @@
 	/** Monotonic milliseconds. */
 	readonly deadline: number;
 	/** Aborts when the caller goes away. */
-	readonly signal: AbortSignal;
+	readonly signal: StopSignal;
 };
 
 export type SlotRequest = AdmissionRequest & {
@@ -122,10 +123,11 @@
 	/** Claims an idempotency key for the first request that carries it. */
 	claimIdempotencyKey(request: IdempotencyRequest): Promise<IdempotencyClaim | Refusal>;
 	/**
-	 * Asked before each attempt; refuses a request that has crashed targets. `fingerprint` is a
-	 * digest. Waits while another copy of a suspect request is being tried.
+	 * Asked before each attempt; refuses a request that has crashed targets. `fingerprint` returns a
+	 * digest, which is computed only while any request is under suspicion, or after a crash. Waits
+	 * while another copy of a suspect request is being tried.
 	 */
-	clearFingerprint(fingerprint: string, deadline: number): Promise<CrashClearance | Refusal>;
+	clearFingerprint(fingerprint: () => string, deadline: number): Promise<CrashClearance | Refusal>;
 	/** Counts a real request; the budget for retries and hedges grows with these. */
 	countRequest(): void;
 	/** Takes one retry or hedge from the budget. */
