Report progress of the comparison and the crash of a rate owner

A random crash rarely meets the owner of a large rate, so the comparison did not show what such a crash costs. The new scenario ends that owner.

--- a/packages/replay/src/compare.ts
+++ b/packages/replay/src/compare.ts
@@ -60,7 +60,8 @@
 		const options: MeasurementOptions = {organisation, policy, seed, instances};
 		const results = settings.scenarios.map(name => {
 			const result = measureScenario(name, options);
-			console.error(`${organisation.name} ${policy} ${name} done`);
+			// The output of a worker would wait until its loop is idle.
+			parentPort!.postMessage(`${organisation.name} ${policy} ${name} done`);
 			return result;
 		});
 		return {
@@ -228,6 +229,18 @@
 			value: comparison => lowestService(comparison, 'one-crash'),
 			show: percent,
 		},
+		{
+			measure: '(h) crash of the owner of a rate: refused within the rate',
+			target: '-',
+			value: comparison => scenarioOf(comparison, 'rate-owner-crash')?.refusedWithinRate,
+			show: count,
+		},
+		{
+			measure: '(h) crash of the owner of a rate: lowest second',
+			target: '-',
+			value: comparison => lowestService(comparison, 'rate-owner-crash'),
+			show: percent,
+		},
 	];
 }
 
@@ -254,7 +267,13 @@
 async function runInWorker(index: number, settings: Settings): Promise<Comparison[]> {
 	return new Promise((resolve, reject) => {
 		const worker = new Worker(new URL(import.meta.url), {workerData: {index, settings}});
-		worker.once('message', resolve);
+		worker.on('message', (message: string | Comparison[]) => {
+			if (typeof message === 'string') {
+				console.error(message);
+			} else {
+				resolve(message);
+			}
+		});
 		worker.once('error', reject);
 	});
 }
--- a/packages/replay/src/scenarios.ts
+++ b/packages/replay/src/scenarios.ts
@@ -4,6 +4,7 @@
  */
 import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
 import {type Fleet, type FleetOptions} from './fleet-harness.js';
+import {type FleetInstance} from './fleet-instance.js';
 import {sendBurst} from './traffic.js';
 
 export type ScenarioInput = {
@@ -128,6 +129,17 @@
 			});
 		},
 	},
+	/** Ends the instance that owns the rate of the largest workspace, if the policy has one. */
+	'rate-owner-crash': {
+		begin({fleet, from}) {
+			fleet.at(from, () => {
+				const [workspace] = Object.keys(fleet.document.workspaces);
+				const [{membership, clock}] = fleet.instances as [FleetInstance];
+				const owner = membership.ownerOf(`rate:${workspace}`, clock.monotonic());
+				fleet.crash(fleet.instances.find(({id}) => id === owner)?.index ?? 0, 5000);
+			});
+		},
+	},
 	'planned-stops': {
 		begin(input) {
 			const {fleet, random} = input;
