Ask again when the target of a grant has left before the request is sent

Change: the request path gets the grant, finds its target gone, gives it back and asks again, as it does for other changes.

--- a/packages/shallotpond/src/slots-service.ts
+++ b/packages/shallotpond/src/slots-service.ts
@@ -131,9 +131,7 @@
 	function grantOf(grant: HeldGrant): Answer {
 		const target = definitions.get(grant.target);
 		const abort = createStopController();
-		const isUsable =
-			target !== undefined && holder.mayDispatch(grant, () => true, clock.monotonic());
-		if (!isUsable) {
+		if (target === undefined) {
 			run(holder.release(grant, undefined, clock.monotonic()));
 			return refusalOf('no-capacity', 0);
 		}
@@ -144,6 +142,7 @@
 			target,
 			signal: abort.signal,
 			keepsConnection: grant.keepConnection,
+			// A grant whose target has left meanwhile is given back by the request path, which asks again.
 			isInForce: () => holder.mayDispatch(grant, () => true, clock.monotonic()),
 			release(outcome) {
 				aborts.delete(grant.grant);
