Copy the options of a target request once less

Each request to a target merged its options from two objects by spreads, which took about 1.5% of the profile; Node's client and agent copy them again.

--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -86,13 +86,11 @@
 	return new Promise(resolve => {
 		let isSettled = false;
 		let wasWritten = false;
-		const request = (service.tls ? https : http).request({
-			...connections.optionsFor(target, service),
-			method: options.method,
-			path: options.path,
-			// The types of Node 20 do not name the flat list, which its documentation allows.
-			headers: options.headers as unknown as http.OutgoingHttpHeaders,
-		});
+		const requestOptions = connections.optionsFor(target, service);
+		requestOptions.method = options.method;
+		requestOptions.path = options.path;
+		requestOptions.headers = options.headers;
+		const request = (service.tls ? https : http).request(requestOptions);
 		request.maxHeadersCount = 0;
 
 		const cancelConnectTimer = clock.after(options.connectTimeout, () => {
--- a/packages/io-http/src/target-connections.ts
+++ b/packages/io-http/src/target-connections.ts
@@ -36,7 +36,10 @@
 };
 
 export type TargetConnections = {
-	/** Agent for the target, and the options that every request to it needs. */
+	/**
+	 * Agent for the target, and the options that every request to it needs. A new object, to which
+	 * the options of one request are added without another copy.
+	 */
 	optionsFor(target: TargetDefinition, service: ServiceDefinition): http.RequestOptions;
 	/**
 	 * Room for one more request at the target; undefined where it would need a connection above the
@@ -205,14 +208,14 @@
 	return {
 		optionsFor(target, service) {
 			const {host, port} = parseTargetAddress(target.address);
-			return {
-				host,
-				port,
-				agent: service.tls ? secureAgent : plainAgent,
-				// Node must not take the name to verify from a Host header, which the caller chooses.
-				...(service.tls ? {servername: '', protocol: 'https:'} : {}),
-				maxHeaderSize: limits.answerHeaderBytes,
-			};
+			const maxHeaderSize = limits.answerHeaderBytes;
+			if (!service.tls) {
+				return {host, port, agent: plainAgent, maxHeaderSize};
+			}
+
+			// Node must not take the name to verify from a Host header, which the caller chooses.
+			const secure: https.RequestOptions = {servername: '', protocol: 'https:'};
+			return {host, port, agent: secureAgent, maxHeaderSize, ...secure};
 		},
 		reserve(target, service, idleLimit) {
 			const {address} = target;
