Share the words for outcomes of requests, and one slot grant term

Cause: run states, attempt results, outcomes and refusals stood in io-http, policy-requests and policy-dispatch, and the slot grant term, which must be the same everywhere, in three packages. Change: kernel/attempt-outcome holds the types and their combination; the term stands in policy-membership/timing only.

--- a/packages/io-http/src/__tests__/caller-listener.test.ts
+++ b/packages/io-http/src/__tests__/caller-listener.test.ts
@@ -1,5 +1,5 @@
+import {type Refusal} from '@shallotpond/kernel/attempt-outcome';
 import {afterEach, expect, test} from '@jest/globals';
-import {type Refusal} from '../request-policy.js';
 import {type RequestTracer} from '../request-tracer.js';
 import {
 	createFixture,
--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import net from 'node:net';
+import {type AttemptOutcome, type Refusal} from '@shallotpond/kernel/attempt-outcome';
 import {digestKey} from '@shallotpond/configuration/key-digest';
 import {createLookupTables, type LookupTables} from '@shallotpond/configuration/lookup-tables';
 import {documentSchema} from '@shallotpond/configuration/document-schema';
@@ -12,7 +13,7 @@
 	type StandInTargetOptions,
 } from '@shallotpond/testkit/stand-in-target';
 import {createCallerListener, type CallerListenerOptions} from '../caller-listener.js';
-import {type AttemptOutcome, type RequestPolicy, type Refusal} from '../request-policy.js';
+import {type RequestPolicy} from '../request-policy.js';
 
 export const key = 'secret-key-of-reed';
 export const otherKey = 'secret-key-of-moss';
--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -5,6 +5,7 @@
 import http, {type IncomingMessage} from 'node:http';
 import https from 'node:https';
 import {type Socket} from 'node:net';
+import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {
 	type ServiceDefinition,
@@ -12,7 +13,6 @@
 } from '@shallotpond/configuration/document-schema';
 import {onAbort} from './cancellation.js';
 import {type BodyFailure, type RequestBody} from './request-body.js';
-import {type AttemptResult} from './request-policy.js';
 import {type StopSignal} from './stop-signal.js';
 import {type TargetConnections} from './target-connections.js';
 
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -4,6 +4,11 @@
  * runs at most once.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+	combineRunStates,
+	type AttemptResult,
+	type RunState,
+} from '@shallotpond/kernel/attempt-outcome';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type RouteDefinition} from '@shallotpond/configuration/document-schema';
 import {
@@ -30,13 +35,7 @@
 	type ProblemCode,
 } from './problem-response.js';
 import {type RequestBody} from './request-body.js';
-import {
-	type AttemptResult,
-	type CrashClearance,
-	type RequestPolicy,
-	type RunState,
-	type SlotGrant,
-} from './request-policy.js';
+import {type CrashClearance, type RequestPolicy, type SlotGrant} from './request-policy.js';
 import {type RequestSpan} from './request-tracer.js';
 import {idleConnectionLimit, type TargetConnections} from './target-connections.js';
 
@@ -119,12 +118,6 @@
 /** A request that crashes targets reaches at most this many. */
 const crashesPerRequest = 2;
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
-const runStateOrder: readonly RunState[] = ['not-run', 'may-have-run', 'ran'];
-
-export function worseRunState(one: RunState, other: RunState): RunState {
-	return runStateOrder.indexOf(one) > runStateOrder.indexOf(other) ? one : other;
-}
-
 const failureCodes: Readonly<Partial<Record<AttemptResult, ProblemCode>>> = {
 	timeout: 'deadline-exceeded',
 	'connection-failed': 'target-unreachable',
@@ -494,7 +487,7 @@
 			return resetWith(reason ?? problem.code, progress.runState);
 		}
 
-		const outcome = worseRunState(progress.runState, problem.outcome);
+		const outcome = combineRunStates(progress.runState, problem.outcome);
 		return {
 			kind: 'problem',
 			problem:
@@ -563,7 +556,7 @@
 					return result;
 				}
 
-				progress.runState = worseRunState(progress.runState, result.runState);
+				progress.runState = combineRunStates(progress.runState, result.runState);
 				const problem = findEnd(request, progress, result);
 				if (problem !== undefined) {
 					return giveUp(request, progress, problem);
--- a/packages/io-http/src/problem-response.ts
+++ b/packages/io-http/src/problem-response.ts
@@ -4,7 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
-import {type Refusal, type RunState} from './request-policy.js';
+import {type Refusal, type RunState} from '@shallotpond/kernel/attempt-outcome';
 
 type ProblemDefinition = {readonly status: number; readonly title: string};
 
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -8,10 +8,11 @@
 import {type RouteDefinition} from '@shallotpond/configuration/document-schema';
 import {digestKey} from '@shallotpond/configuration/key-digest';
 import {type LookupTables} from '@shallotpond/configuration/lookup-tables';
+import {combineRunStates} from '@shallotpond/kernel/attempt-outcome';
 import {containsKey, findCallerKey, removeKeyParameter} from './caller-key.js';
 import {type Cancellation} from './cancellation.js';
 import {createTargetHeaders} from './forwarded-headers.js';
-import {worseRunState, type ForwardResult, type Forwarder} from './forwarder.js';
+import {type ForwardResult, type Forwarder} from './forwarder.js';
 import {type HttpLimits} from './http-limits.js';
 import {type KeyWatch} from './key-watch.js';
 import {
@@ -345,5 +346,5 @@
 
 	return result.kind === 'problem'
 		? result.problem.outcome
-		: worseRunState(result.outcome, 'may-have-run');
+		: combineRunStates(result.outcome, 'may-have-run');
 }
--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -2,54 +2,15 @@
  * What the request path asks of the rest of the daemon. The HTTP code knows nothing of leases,
  * peers or owners: it gets one object with these functions and keeps to their answers.
  */
+import {
+	type AttemptOutcome,
+	type Refusal,
+	type RunState,
+} from '@shallotpond/kernel/attempt-outcome';
 import {type TargetDefinition} from '@shallotpond/configuration/document-schema';
 import {type LookupTables} from '@shallotpond/configuration/lookup-tables';
 import {type StopSignal} from './stop-signal.js';
 
-/** Whether a request ran at a target. `not-run` is said only where it is proved. */
-export type RunState = 'not-run' | 'may-have-run' | 'ran';
-
-/** A request that goes no further. */
-export type Refusal = {
-	readonly kind: 'refused';
-	/** Stable code in kebab case, for example `rate-exceeded`. */
-	readonly code: string;
-	/** HTTP status for the caller. */
-	readonly status: number;
-	readonly detail: string;
-	readonly runState: RunState;
-	/** Milliseconds after which another try makes sense. */
-	readonly retryAfter?: number;
-};
-
-export type AttemptResult =
-	/** A whole answer that met the expectations of the route. */
-	| 'ok'
-	/** A whole answer with a status of 500 or above that is not a shed answer. */
-	| 'error'
-	/** No head, or no further byte, in time. */
-	| 'timeout'
-	/** A blank or cut answer. */
-	| 'incomplete'
-	/** No connection; nothing was written. */
-	| 'connection-failed'
-	/** The connection broke after the first byte was written and before a whole answer. */
-	| 'connection-broken'
-	/** The target said that it did not run the request. */
-	| 'shed'
-	/** The caller went away, the key was withdrawn or the grant ran out. Says nothing of the target. */
-	| 'cancelled';
-
-export type AttemptOutcome = {
-	readonly result: AttemptResult;
-	/** Milliseconds from dispatch to the head of the answer, or to the failure. */
-	readonly latency: number;
-	/** Milliseconds for which the slot was in use. */
-	readonly slotTime: number;
-	/** Changes when the target process was restarted, where the target says so. */
-	readonly generation?: string;
-};
-
 export type SlotGrant = {
 	readonly kind: 'granted';
 	readonly target: TargetDefinition;
--- a/packages/policy-requests/src/run-state.ts
+++ b/packages/kernel/src/attempt-outcome.ts
@@ -1,11 +1,24 @@
 /**
- * Whether a request ran at a target, and how one attempt ended. The values are those of the request
- * path, which this package does not depend on.
+ * How requests and attempts end: the words that the request path and the policies share.
  */
 
-/** `not-run` is said only where it is proved. */
+/** Whether a request ran at a target. `not-run` is said only where it is proved. */
 export type RunState = 'not-run' | 'may-have-run' | 'ran';
 
+/** A request that goes no further. */
+export type Refusal = {
+	readonly kind: 'refused';
+	/** Stable code in kebab case, for example `rate-exceeded`. */
+	readonly code: string;
+	/** HTTP status for the caller. */
+	readonly status: number;
+	readonly detail: string;
+	readonly runState: RunState;
+	/** Milliseconds after which another try makes sense. */
+	readonly retryAfter?: number;
+};
+
+/** How one attempt at a target ended. */
 export type AttemptResult =
 	/** A whole answer that met the expectations of the route. */
 	| 'ok'
@@ -21,17 +34,17 @@
 	| 'connection-broken'
 	/** The target said that it did not run the request. */
 	| 'shed'
-	/** The caller went away, the key was withdrawn or the grant ran out. */
+	/** The caller went away, the key was withdrawn or the grant ran out. Says nothing of the target. */
 	| 'cancelled';
 
-/** A request that goes no further. `retryAfter` is in milliseconds. */
-export type Refusal = {
-	readonly kind: 'refused';
-	readonly code: string;
-	readonly status: number;
-	readonly detail: string;
-	readonly runState: RunState;
-	readonly retryAfter?: number;
+export type AttemptOutcome = {
+	readonly result: AttemptResult;
+	/** Milliseconds from dispatch to the head of the answer, or to the failure. */
+	readonly latency: number;
+	/** Milliseconds for which the slot was in use. */
+	readonly slotTime: number;
+	/** Changes when the target process was restarted, where the target says so. */
+	readonly generation?: string;
 };
 
 const certainty: Readonly<Record<RunState, number>> = {'not-run': 0, 'may-have-run': 1, ran: 2};
--- a/packages/policy-dispatch/src/__tests__/health-trial.ts
+++ b/packages/policy-dispatch/src/__tests__/health-trial.ts
@@ -1,12 +1,12 @@
 /**
  * Targets under Poisson work, judged in simulated time.
  */
+import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {type Random} from '@shallotpond/kernel/random';
-import {type SlotResult} from '../slot-messages.js';
 import {createTargetHealth, type HealthChange} from '../target-health.js';
 import {logNormal} from './simulated-fleet.js';
 
-export type Answer = {readonly latency: number; readonly result: SlotResult};
+export type Answer = {readonly latency: number; readonly result: AttemptResult};
 export type Trial = {
 	readonly seed: number;
 	readonly targets: number;
--- a/packages/policy-dispatch/src/__tests__/simulated-fleet.ts
+++ b/packages/policy-dispatch/src/__tests__/simulated-fleet.ts
@@ -2,18 +2,20 @@
  * Instances, a network, a share ledger and targets in simulated time. Requests are counted where
  * they run: at the targets.
  */
+import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {type Outbound} from '@shallotpond/kernel/outbound';
 import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
-import {grantTerm, type DispatchService, type TargetAvailability} from '../dispatch-service.js';
+import {grantTerm} from '@shallotpond/policy-membership/timing';
+import {type DispatchService, type TargetAvailability} from '../dispatch-service.js';
 import {createLocalBalancer} from '../local-balancer.js';
 import {createSlotCoordinator, type SlotCoordinator} from '../slot-coordinator.js';
 import {createSlotHolder, type HeldGrant, type HolderStep} from '../slot-holder.js';
-import {type CoordinatorMessage, type SlotMessage, type SlotResult} from '../slot-messages.js';
+import {type CoordinatorMessage, type SlotMessage} from '../slot-messages.js';
 import {type HealthChange} from '../target-health.js';
 
 export type Work = {
 	readonly latency: number;
-	readonly result: SlotResult;
+	readonly result: AttemptResult;
 	readonly generation?: string;
 };
 export type FleetOptions = {
@@ -28,7 +30,7 @@
 	/** Milliseconds after a share moves for which it counts as not vested. */
 	readonly vesting?: number;
 	readonly work: (target: string, holder: string, now: number, random: Random) => Work;
-	readonly onFinish?: (workspace: string, result: SlotResult | 'refused', now: number) => void;
+	readonly onFinish?: (workspace: string, result: AttemptResult | 'refused', now: number) => void;
 };
 
 // Looking up a global is slow in the module contexts of jest.
--- a/packages/policy-dispatch/src/coordinated-target.ts
+++ b/packages/policy-dispatch/src/coordinated-target.ts
@@ -2,10 +2,10 @@
  * What a coordinator knows of one target: its open grants, warm-up and connections.
  */
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
+import {grantTerm} from '@shallotpond/policy-membership/timing';
 import {createConnectionBudget, type ConnectionBudget} from './connection-budget.js';
 import {
 	clockDrift,
-	grantTerm,
 	type DispatchService,
 	type DispatchTarget,
 	type TargetAvailability,
--- a/packages/policy-dispatch/src/dispatch-service.ts
+++ b/packages/policy-dispatch/src/dispatch-service.ts
@@ -34,8 +34,5 @@
 
 export type AvailabilityLookup = (service: string, target: DispatchTarget) => TargetAvailability;
 
-/** Milliseconds for which a grant is valid without renewal. */
-export const grantTerm = 4000;
-
 /** Largest difference in speed of two clocks that the terms allow for. */
 export const clockDrift = 0.01;
--- a/packages/policy-dispatch/src/local-balancer.ts
+++ b/packages/policy-dispatch/src/local-balancer.ts
@@ -3,6 +3,7 @@
  * flight that it knows of itself, keeps the slots only locally, and ejects a target after five
  * errors in a row. It has the interface of the slot holder, so that both run in one comparison.
  */
+import {type AttemptOutcome} from '@shallotpond/kernel/attempt-outcome';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Random} from '@shallotpond/kernel/random';
 import {type AvailabilityLookup, type DispatchTarget} from './dispatch-service.js';
@@ -13,7 +14,6 @@
 	type SlotHolder,
 	type SlotRequestOptions,
 } from './slot-holder.js';
-import {type SlotOutcome} from './slot-messages.js';
 
 export type LocalBalancerOptions = {
 	readonly self: InstanceId;
@@ -105,7 +105,7 @@
 		return {outbound: [], events};
 	}
 
-	function countOutcome(target: LocalTarget, {result}: SlotOutcome, now: number): void {
+	function countOutcome(target: LocalTarget, {result}: AttemptOutcome, now: number): void {
 		if (result === 'ok') {
 			target.errorsInRow = 0;
 		} else if (result !== 'cancelled' && result !== 'shed') {
--- a/packages/policy-dispatch/src/path-avoidance.ts
+++ b/packages/policy-dispatch/src/path-avoidance.ts
@@ -2,11 +2,11 @@
  * Targets that this instance does not reach although others may. The instance avoids such a target
  * and tries it again after 5 s, doubling up to 60 s; the target's health is judged elsewhere.
  */
-import {type SlotResult} from './slot-messages.js';
+import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 
 export type PathAvoidance = {
 	/** Counts the result of an attempt from this instance to the target. */
-	record(service: string, target: string, result: SlotResult, now: number): void;
+	record(service: string, target: string, result: AttemptResult, now: number): void;
 	/** Targets of the service to avoid now. Linear in the targets with a path fault. */
 	avoided(service: string, now: number): string[];
 };
@@ -18,7 +18,7 @@
 /** Failures in a row; one alone is ordinary noise. */
 const failuresToAvoid = 3;
 
-const pathFailures: ReadonlySet<SlotResult> = new Set([
+const pathFailures: ReadonlySet<AttemptResult> = new Set([
 	'connection-failed',
 	'connection-broken',
 	'timeout',
--- a/packages/policy-dispatch/src/slot-coordinator.ts
+++ b/packages/policy-dispatch/src/slot-coordinator.ts
@@ -11,6 +11,7 @@
 import {type Random} from '@shallotpond/kernel/random';
 import {slotAuthority} from '@shallotpond/policy-membership/authority';
 import {type OwnerLookup, type ShareSource} from '@shallotpond/policy-membership/share-fraction';
+import {grantTerm} from '@shallotpond/policy-membership/timing';
 import {createAnsweredIds} from './answered-ids.js';
 import {connectionIdle} from './connection-budget.js';
 import {
@@ -30,7 +31,6 @@
 	type OpenGrant,
 } from './coordinated-target.js';
 import {
-	grantTerm,
 	type AvailabilityLookup,
 	type DispatchService,
 	type DispatchServices,
--- a/packages/policy-dispatch/src/slot-holder.ts
+++ b/packages/policy-dispatch/src/slot-holder.ts
@@ -4,13 +4,14 @@
  * of a grant counts from when this instance asked, so it ends here before it ends at the
  * coordinator. Call `tick` about every 100 ms.
  */
+import {type AttemptOutcome} from '@shallotpond/kernel/attempt-outcome';
 import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Outbound} from '@shallotpond/kernel/outbound';
 import {type Random} from '@shallotpond/kernel/random';
 import {type OwnerLookup} from '@shallotpond/policy-membership/share-fraction';
+import {grantTerm} from '@shallotpond/policy-membership/timing';
 import {
-	grantTerm,
 	type AvailabilityLookup,
 	type DispatchServices,
 	type DispatchTarget,
@@ -23,7 +24,6 @@
 	type RefusalReason,
 	type SlotGrantMessage,
 	type SlotMessage,
-	type SlotOutcome,
 } from './slot-messages.js';
 
 export type SlotRequestOptions = {
@@ -90,7 +90,7 @@
 	 */
 	mayDispatch(grant: HeldGrant, isKeyValid: () => boolean, now: number): boolean;
 	/** Ends a grant. Without outcome, the grant was not used. A second call does nothing. */
-	release(grant: HeldGrant, outcome: SlotOutcome | undefined, now: number): HolderStep;
+	release(grant: HeldGrant, outcome: AttemptOutcome | undefined, now: number): HolderStep;
 	/** Grants in force, by the coordinator to which they are reported for renewal. */
 	holdings(now: number): ReadonlyMap<InstanceId, readonly Holding[]>;
 };
--- a/packages/policy-dispatch/src/slot-messages.ts
+++ b/packages/policy-dispatch/src/slot-messages.ts
@@ -4,6 +4,7 @@
  * with an id before repeats its answer or ignores the message. Times are durations, because the
  * monotonic clocks of two instances have different origins.
  */
+import {type AttemptOutcome} from '@shallotpond/kernel/attempt-outcome';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 
 /** Why a request got no slot. All of them say that the request did not run. */
@@ -16,27 +17,6 @@
 	| 'not-coordinator'
 	| 'service-unhealthy';
 
-/** The result of one attempt, in the words of the request path. */
-export type SlotResult =
-	| 'ok'
-	| 'error'
-	| 'timeout'
-	| 'incomplete'
-	| 'connection-failed'
-	| 'connection-broken'
-	| 'shed'
-	| 'cancelled';
-
-export type SlotOutcome = {
-	readonly result: SlotResult;
-	/** Milliseconds from dispatch to the head of the answer, or to the failure. */
-	readonly latency: number;
-	/** Milliseconds for which the slot was in use. */
-	readonly slotTime: number;
-	/** Changes when the target process was restarted, where the target says so. */
-	readonly generation?: string;
-};
-
 export type SlotAsk = {
 	readonly kind: 'slot-ask';
 	/** Unique over all instances and time. */
@@ -93,7 +73,7 @@
 	readonly service: string;
 	readonly target: string;
 	/** Absent when the grant was not used. */
-	readonly outcome?: SlotOutcome;
+	readonly outcome?: AttemptOutcome;
 };
 
 export type SlotCancel = {
--- a/packages/policy-dispatch/src/target-health.ts
+++ b/packages/policy-dispatch/src/target-health.ts
@@ -3,9 +3,9 @@
  * peers in the same period. A verdict needs a minimum number of samples and holds with a confidence
  * bound, so ordinary noise ejects nothing, and what strikes all targets alike ejects none of them.
  */
+import {type AttemptOutcome, type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {createSampleWindow, type SampleWindow, type WindowSummary} from './sample-window.js';
-import {type SlotOutcome, type SlotResult} from './slot-messages.js';
 
 export type HealthState = 'healthy' | 'suspect' | 'ejected' | 'trial';
 export type EjectionReason = 'errors' | 'slow' | 'incomplete';
@@ -25,7 +25,7 @@
 
 export type TargetHealth = {
 	/** Counts an outcome. O(1). */
-	record(target: string, holder: InstanceId, outcome: SlotOutcome, now: number): void;
+	record(target: string, holder: InstanceId, outcome: AttemptOutcome, now: number): void;
 	stateOf(target: string): HealthState;
 	/**
 	 * Judges all targets and returns the changes of state. Linear in the known targets; call it
@@ -107,7 +107,7 @@
 type Judged = {readonly record: TargetRecord; readonly summary: WindowSummary};
 type Rates = {readonly good: number; readonly bad: number};
 
-const verdicts: Readonly<Record<SlotResult, 'good' | 'bad' | 'incomplete' | 'ignored'>> = {
+const verdicts: Readonly<Record<AttemptResult, 'good' | 'bad' | 'incomplete' | 'ignored'>> = {
 	ok: 'good',
 	error: 'bad',
 	timeout: 'bad',
--- a/packages/policy-limits/src/workspace-limits.ts
+++ b/packages/policy-limits/src/workspace-limits.ts
@@ -3,6 +3,7 @@
  */
 import {rateAuthority} from '@shallotpond/policy-membership/authority';
 import {type Resource, type ShareFraction} from '@shallotpond/policy-membership/share-fraction';
+import {grantTerm as slotGrantTerm} from '@shallotpond/policy-membership/timing';
 
 export type WorkspaceLimits = {
 	/** Requests per second. */
@@ -24,9 +25,6 @@
 /** Clocks of two instances may differ in speed by 1%, so the owner counts a longer term. */
 export const ownerGrantTerm = grantTerm * 1.01;
 
-/** Milliseconds for which `ShareFraction.vested` vouches: one slot grant term. */
-const vestedTerm = 4000;
-
 export function rateResource(workspace: string): Resource {
 	return `rate:${workspace}`;
 }
@@ -42,7 +40,7 @@
 	from: number,
 	now: number,
 ): {readonly authority: number; readonly isMajority: boolean} {
-	const steady = now - from <= vestedTerm ? Math.min(fraction.vested, fraction.current) : 0;
+	const steady = now - from <= slotGrantTerm ? Math.min(fraction.vested, fraction.current) : 0;
 	if (fraction.majoritySince !== undefined && fraction.majoritySince <= from) {
 		return {authority: 1 - minorityFraction * (1 - Math.max(1 / 2, steady)), isMajority: true};
 	}
--- a/packages/policy-requests/src/__tests__/retry.test.ts
+++ b/packages/policy-requests/src/__tests__/retry.test.ts
@@ -1,9 +1,9 @@
+import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {describe, expect, test} from '@jest/globals';
 import fc from 'fast-check';
 import {createHedgePolicy} from '../hedge-policy.js';
 import {createRetryBudget} from '../retry-budget.js';
 import {createRetryPolicy, type FailedAttempt} from '../retry-policy.js';
-import {type AttemptResult} from '../run-state.js';
 
 const attempt: FailedAttempt = {
 	method: 'POST',
--- a/packages/policy-requests/src/crash-guard.ts
+++ b/packages/policy-requests/src/crash-guard.ts
@@ -3,6 +3,7 @@
  * no message; only a fingerprint under suspicion is asked about. A request that broke a connection is
  * held back, both its answer to the caller and its retry, until the report has been recorded.
  */
+import {type Refusal} from '@shallotpond/kernel/attempt-outcome';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Outbound} from '@shallotpond/kernel/outbound';
 import {type OwnerLookup} from '@shallotpond/policy-membership/share-fraction';
@@ -15,7 +16,6 @@
 import {crashRetention} from './crash-registry.js';
 import {createCrashTable, isBlocked, mostCrashedTargets, type CrashTable} from './crash-table.js';
 import {bucketOf} from './fingerprint.js';
-import {type Refusal} from './run-state.js';
 
 export type CrashGuardOptions = {
 	readonly owner: OwnerLookup;
--- a/packages/policy-requests/src/idempotency-guard.ts
+++ b/packages/policy-requests/src/idempotency-guard.ts
@@ -2,6 +2,7 @@
  * The entry side of idempotency keys: claims a key before its request is sent, and reports
  * afterwards whether the request ran.
  */
+import {type Refusal, type RunState} from '@shallotpond/kernel/attempt-outcome';
 import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Outbound} from '@shallotpond/kernel/outbound';
@@ -13,7 +14,6 @@
 	type IdempotencySettled,
 	type IdempotencyVerdict,
 } from './idempotency-messages.js';
-import {type Refusal, type RunState} from './run-state.js';
 
 export type IdempotencyGuardOptions = {
 	readonly owner: OwnerLookup;
--- a/packages/policy-requests/src/idempotency-messages.ts
+++ b/packages/policy-requests/src/idempotency-messages.ts
@@ -2,7 +2,7 @@
  * Messages of the idempotency registry. `id` is unique among the claims of its sender and names the
  * claim in all later messages. Every message may be lost, duplicated, delayed or reordered.
  */
-import {type RunState} from './run-state.js';
+import {type RunState} from '@shallotpond/kernel/attempt-outcome';
 
 export type IdempotencyClaim = {
 	readonly kind: 'idempotency-claim';
--- a/packages/policy-requests/src/idempotency-registry.ts
+++ b/packages/policy-requests/src/idempotency-registry.ts
@@ -7,6 +7,7 @@
  * that it does not know. A handover removes this wait: the predecessor gives its records to one
  * successor and claims nothing more in that bucket until it has lost the majority and gained it again.
  */
+import {type RunState} from '@shallotpond/kernel/attempt-outcome';
 import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Outbound} from '@shallotpond/kernel/outbound';
@@ -20,7 +21,6 @@
 	type IdempotencySettle,
 	type IdempotencyVerdict,
 } from './idempotency-messages.js';
-import {type RunState} from './run-state.js';
 
 export type IdempotencyOwnerMessage =
 	IdempotencyClaim | IdempotencySettle | IdempotencyHandoverAsk | IdempotencyHandover;
--- a/packages/policy-requests/src/retry-policy.ts
+++ b/packages/policy-requests/src/retry-policy.ts
@@ -2,8 +2,12 @@
  * What follows from a failed attempt: another attempt or the end, and what is truthfully known of
  * whether the request ran.
  */
+import {
+	type AttemptResult,
+	type RunState,
+	combineRunStates,
+} from '@shallotpond/kernel/attempt-outcome';
 import {type RetryBudget} from './retry-budget.js';
-import {combineRunStates, type AttemptResult, type RunState} from './run-state.js';
 
 export type FailedAttempt = {
 	readonly method: string;
--- a/packages/replay/src/fake-target.ts
+++ b/packages/replay/src/fake-target.ts
@@ -2,12 +2,12 @@
  * A back end as the fleet sees it: slots, service times, cold starts and the ways in which it turns
  * sick. It counts every run where it happens, so the counts do not depend on any instance.
  */
+import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {type Random} from '@shallotpond/kernel/random';
 import {
 	type DispatchService,
 	type DispatchTarget,
 } from '@shallotpond/policy-dispatch/dispatch-service';
-import {type SlotResult} from '@shallotpond/policy-dispatch/slot-messages';
 
 export type TargetBehaviour = {
 	/** Milliseconds, the median of a log-normal distribution. */
@@ -31,7 +31,7 @@
 	/** Milliseconds after which the target gives the request up, as it was told. */
 	readonly timeLeft: number;
 	/** Called once unless the run is cancelled. */
-	readonly finish: (result: SlotResult, generation: string) => void;
+	readonly finish: (result: AttemptResult, generation: string) => void;
 };
 
 export type TargetCounts = {
@@ -164,7 +164,7 @@
 		return logNormal(serviceTime, deviation, random) * load * coldness * sickness;
 	}
 
-	function drawResult(): SlotResult {
+	function drawResult(): AttemptResult {
 		const {failRate, blankRate} = behaviour;
 		const draw = random();
 		if (!isInSickPhase() || draw >= failRate + blankRate) {
@@ -207,7 +207,7 @@
 		}
 	}
 
-	function end(id: number, result: SlotResult): void {
+	function end(id: number, result: AttemptResult): void {
 		const run = running.get(id);
 		if (run === undefined) {
 			return;
@@ -280,7 +280,7 @@
 				});
 			} else {
 				const duration = drawServiceTime();
-				const result: SlotResult = duration > request.timeLeft ? 'timeout' : drawResult();
+				const result: AttemptResult = duration > request.timeLeft ? 'timeout' : drawResult();
 				schedule(Math.min(duration, request.timeLeft), () => {
 					end(id, result);
 				});
--- a/packages/replay/src/fleet-instance.ts
+++ b/packages/replay/src/fleet-instance.ts
@@ -3,6 +3,7 @@
  * with functions in place of sockets and a steerable clock in place of the system clock.
  */
 import process from 'node:process';
+import {type AttemptOutcome, type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Outbound} from '@shallotpond/kernel/outbound';
@@ -19,8 +20,6 @@
 import {
 	type CoordinatorMessage,
 	type HolderMessage,
-	type SlotOutcome,
-	type SlotResult,
 } from '@shallotpond/policy-dispatch/slot-messages';
 import {type HealthChange} from '@shallotpond/policy-dispatch/target-health';
 import {createRateOwner} from '@shallotpond/policy-limits/rate-owner';
@@ -78,7 +77,7 @@
 		instance: FleetInstance,
 		grant: HeldGrant,
 		request: {readonly id: string; readonly isPoisoned: boolean; readonly timeLeft: number},
-		onAnswer: (result: SlotResult, generation: string) => void,
+		onAnswer: (result: AttemptResult, generation: string) => void,
 	): () => void;
 	/** The configuration service; the callback gets undefined when it cannot be reached. */
 	readDocument(callback: (document: FleetDocument | undefined) => void): void;
@@ -86,8 +85,8 @@
 	watchDocument(after: number, callback: (document: FleetDocument | undefined) => void): () => void;
 	onAdmitted(request: FleetRequest): void;
 	onRefused(request: FleetRequest, cause: RefusalCause): void;
-	onDone(request: FleetRequest, result: SlotResult): void;
-	onOutcome(instance: FleetInstance, grant: HeldGrant, result: SlotResult): void;
+	onDone(request: FleetRequest, result: AttemptResult): void;
+	onOutcome(instance: FleetInstance, grant: HeldGrant, result: AttemptResult): void;
 	onHealthChange(instance: FleetInstance, service: string, change: HealthChange): void;
 	onAdopted(instance: FleetInstance, version: number): void;
 	/** Whether a target is listed as leaving, as this instance sees it. */
@@ -377,7 +376,7 @@
 		});
 	}
 
-	function finishRun(key: string, result: SlotResult, generation?: string): void {
+	function finishRun(key: string, result: AttemptResult, generation?: string): void {
 		const run = runs.get(key);
 		if (run === undefined) {
 			return;
@@ -385,7 +384,7 @@
 
 		runs.delete(key);
 		const duration = now() - run.startedAt;
-		const outcome: SlotOutcome = {result, latency: duration, slotTime: duration, generation};
+		const outcome: AttemptOutcome = {result, latency: duration, slotTime: duration, generation};
 		host.onOutcome(instance, run.grant, result);
 		host.onDone(run.open.request, result);
 		runStep(holder.release(run.grant, outcome, now()));
--- a/packages/shallotpond/src/rates-service.ts
+++ b/packages/shallotpond/src/rates-service.ts
@@ -2,9 +2,10 @@
  * Runs the decisions on workspace rates: answers peers for the workspaces that this instance owns,
  * and takes a token for each request that callers bring to this instance.
  */
+import {type Refusal} from '@shallotpond/kernel/attempt-outcome';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type Service} from '@shallotpond/kernel/kernel';
-import {type AdmissionRequest, type Refusal} from '@shallotpond/io-http/request-policy';
+import {type AdmissionRequest} from '@shallotpond/io-http/request-policy';
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {createRateOwner} from '@shallotpond/policy-limits/rate-owner';
 import {
--- a/packages/shallotpond/src/requests-service.ts
+++ b/packages/shallotpond/src/requests-service.ts
@@ -2,13 +2,13 @@
  * Runs the decisions on single requests: whether one may be tried again, whether it has crashed
  * targets, and whether its idempotency key was used before.
  */
+import {type Refusal} from '@shallotpond/kernel/attempt-outcome';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type Service} from '@shallotpond/kernel/kernel';
 import {
 	type CrashClearance,
 	type IdempotencyClaim,
 	type IdempotencyRequest,
-	type Refusal,
 } from '@shallotpond/io-http/request-policy';
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {createView} from '@shallotpond/policy-membership/rendezvous';
--- a/packages/shallotpond/src/slots-service.ts
+++ b/packages/shallotpond/src/slots-service.ts
@@ -2,6 +2,7 @@
  * Runs the decisions on target slots: coordinates the shards that have been lent to this instance,
  * and gets a slot for each request that callers bring to it.
  */
+import {type Refusal} from '@shallotpond/kernel/attempt-outcome';
 import {
 	type ServiceDefinition,
 	type TargetDefinition,
@@ -10,7 +11,7 @@
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type Service} from '@shallotpond/kernel/kernel';
 import {type Random} from '@shallotpond/kernel/random';
-import {type Refusal, type SlotGrant, type SlotRequest} from '@shallotpond/io-http/request-policy';
+import {type SlotGrant, type SlotRequest} from '@shallotpond/io-http/request-policy';
 import {createStopController, type StopController} from '@shallotpond/io-http/stop-signal';
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {type AvailabilityLookup} from '@shallotpond/policy-dispatch/dispatch-service';
