Warn about too many instances only when the limit is known

Cause: seed peers count as listed from the start, so before the first configuration, with a limit of 1 in its place, each instance with a seed warned that more instances are listed than fleet.maxInstances.

Change: the comparison waits for a configuration; the demo test checks that no such warning appears.

--- a/packages/shallotpond/src/__tests__/demo.test.ts
+++ b/packages/shallotpond/src/__tests__/demo.test.ts
@@ -83,6 +83,8 @@
 		await until('the demo has ended', () => demo.child.exitCode !== null, stopLimit);
 		expect(await demo.exited).toEqual({code: 0, signal: null});
 		expect(demo.output()).not.toMatch(/^\s+at /m);
+		// Two instances are within the limit of the demo, also before its configuration is known.
+		expect(demo.output()).not.toContain('more instances are listed');
 	},
 	testLimit,
 );
--- a/packages/shallotpond/src/membership-service.ts
+++ b/packages/shallotpond/src/membership-service.ts
@@ -81,9 +81,10 @@
 			logger.info('the view changed', {members: view.members.length});
 		}
 
-		if (exceedsMaxInstances !== isOverfull) {
+		// Before the first configuration no limit is known that could be exceeded.
+		const maxInstances = configuration.tables?.document.fleet.maxInstances;
+		if (maxInstances !== undefined && exceedsMaxInstances !== isOverfull) {
 			isOverfull = exceedsMaxInstances;
-			const maxInstances = configuration.tables?.document.fleet.maxInstances;
 			const message = isOverfull
 				? 'more instances are listed than fleet.maxInstances; rates and slots may be exceeded'
 				: 'no more instances are listed than fleet.maxInstances';
