Forget the queue length of a shard after a second

Cause: a holder prefers the shard with the shorter known queue and never forgot a length. Change: a length that was not heard again for 1 s counts as none.

--- a/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
+++ b/packages/policy-dispatch/src/__tests__/slot-dispatch.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from '@jest/globals';
-import {type Random} from '@shallotpond/kernel/random';
+import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
 import {createSlotCoordinator} from '../slot-coordinator.js';
 import {createSlotHolder} from '../slot-holder.js';
 import {type SlotAsk, type SlotMessage} from '../slot-messages.js';
@@ -437,6 +437,31 @@
 		};
 	};
 
+	test('a shard that had a queue once is asked again, so that its targets do not stay idle', () => {
+		const random = createSeededRandom(1);
+		const holder = createSlotHolder({
+			self: 'h',
+			ownerOf: () => 'c',
+			availability: () => 'available',
+			random,
+		});
+		holder.configure(new Map([['roster', testService(8)]]));
+		const asked = new Set<number>();
+		for (let now = 0; now < 20_000; now += 50) {
+			const {step} = holder.ask({service: 'roster', workspace: 'beach', deadline: now + 100}, now);
+			const {id, shard} = step.outbound[0]!.message as SlotAsk;
+			const queueLength = shard === 0 && now < 1000 ? 5 : 0;
+			if (now > 5000) {
+				asked.add(shard);
+			}
+
+			holder.handle({kind: 'slot-queued', id, queueLength}, 'c', now);
+			holder.tick(now + 49);
+		}
+
+		expect(asked).toEqual(new Set([0, 1]));
+	});
+
 	test('a withdrawn key, a domain taken out and an old grant each stop the request before it runs', () => {
 		const {state, may} = granted();
 		expect(may(1000)).toBe(true);
--- a/packages/policy-dispatch/src/slot-holder.ts
+++ b/packages/policy-dispatch/src/slot-holder.ts
@@ -101,6 +101,8 @@
 const coordinatorSilence = 600;
 /** Milliseconds after which a request that found no coordinator looks again. */
 const retryInterval = 100;
+/** Milliseconds for which a queue length guides the choice of a shard. */
+const queueLengthMemory = 1000;
 /** Milliseconds between renewals: three of them may be lost within a term. */
 const renewInterval = 1000;
 /** Milliseconds that a grant ends early here, for the interval of `tick` and the cancellation. */
@@ -147,7 +149,8 @@
 	const pending = new Map<string, PendingRequest>();
 	const pendingByAsk = new Map<string, PendingRequest>();
 	const held = new Map<string, MutableGrant>();
-	const queueLengths = new Map<string, number>();
+	/** By resource of a shard; what its coordinator last said. */
+	const queueLengths = new Map<string, {readonly length: number; readonly heardAt: number}>();
 	const renewals = new Map<number, number>();
 	const paths = createPathAvoidance();
 	let nextId = 0;
@@ -207,12 +210,23 @@
 		});
 	}
 
+	/** A length that is never heard again must expire, or its shard would not be asked any more. */
+	function knownQueueLength(resource: string, now: number): number {
+		const known = queueLengths.get(resource);
+		return known !== undefined && now - known.heardAt < queueLengthMemory ? known.length : 0;
+	}
+
+	function noteQueueLength(request: PendingRequest, length: number, now: number): void {
+		const resource = shardResource(request.options.service, request.ask!.shard);
+		queueLengths.set(resource, {length, heardAt: now});
+	}
+
 	/** Two shards at random, of which the one with the shorter known queue. */
-	function pickShard(service: string, shards: readonly number[]): number | undefined {
+	function pickShard(service: string, shards: readonly number[], now: number): number | undefined {
 		const first = Math.floor(random() * shards.length);
 		const offset = 1 + Math.floor(random() * Math.max(shards.length - 1, 1));
 		const pair = [shards[first], shards[(first + offset) % shards.length]];
-		const lengths = pair.map(shard => queueLengths.get(shardResource(service, shard ?? -1)) ?? 0);
+		const lengths = pair.map(shard => knownQueueLength(shardResource(service, shard ?? -1), now));
 		return lengths[1]! < lengths[0]! ? pair[1] : pair[0];
 	}
 
@@ -234,7 +248,7 @@
 		const reachable = untried.filter(
 			shard => ownerOf(shardResource(service, shard), now) !== undefined,
 		);
-		const shard = pickShard(service, reachable);
+		const shard = pickShard(service, reachable, now);
 		const coordinator =
 			shard === undefined ? undefined : ownerOf(shardResource(service, shard), now);
 		if (shard === undefined || coordinator === undefined) {
@@ -395,14 +409,13 @@
 			const request = pendingByAsk.get(id);
 			if (request?.ask) {
 				request.ask.heardAt = now;
-				queueLengths.set(shardResource(request.options.service, request.ask.shard), queueLength);
+				noteQueueLength(request, queueLength, now);
 			}
 		},
 		'slot-grant'(message, {from, now}) {
 			const request = pendingByAsk.get(message.id);
 			if (request) {
-				const resource = shardResource(request.options.service, request.ask!.shard);
-				queueLengths.set(resource, message.queueLength);
+				noteQueueLength(request, message.queueLength, now);
 				accept(request, message, from, now);
 			} else if (!held.has(message.grant)) {
 				giveBackLate(message, from);
@@ -415,7 +428,7 @@
 			}
 
 			pendingByAsk.delete(id);
-			queueLengths.set(shardResource(request.options.service, request.ask.shard), queueLength);
+			noteQueueLength(request, queueLength, now);
 			request.refusedBy.add(request.ask.shard);
 			request.ask = undefined;
 			request.lastRefusal = {reason, retryAfter};
