--- a/packages/replay/src/fake-target.ts
+++ b/packages/replay/src/fake-target.ts
@@ -20,6 +20,8 @@
 	readonly failRate: number;
 	/** Part of the requests that are answered blank, 0 to 1. */
 	readonly blankRate: number;
+	/** Part of the requests that get no answer in time, 0 to 1; 0 by default. */
+	readonly stallRate?: number;
 	/** Milliseconds for which the target alternates between good and sick; 0 for never. */
 	readonly flapPeriod: number;
 };
@@ -30,6 +32,8 @@
 	readonly isPoisoned: boolean;
 	/** Milliseconds after which the target gives the request up, as it was told. */
 	readonly timeLeft: number;
+	/** Milliseconds, the median instead of that of the behaviour. */
+	readonly serviceTime?: number;
 	/** Called once unless the run is cancelled. */
 	readonly finish: (result: SlotResult, generation: string) => void;
 };
@@ -156,8 +160,12 @@
 	}
 
 	/** Overload and cold caches slow the work down. */
-	function drawServiceTime(): number {
-		const {serviceTime, deviation, slowFactor} = behaviour;
+	function drawServiceTime(serviceTime = behaviour.serviceTime): number {
+		const {deviation, slowFactor, stallRate = 0} = behaviour;
+		if (stallRate > 0 && isInSickPhase() && random() < stallRate) {
+			return Number.POSITIVE_INFINITY;
+		}
+
 		const load = Math.max(1, running.size / bears);
 		const coldness = 1 + (settings.slots - bears) / settings.slots;
 		const sickness = isInSickPhase() ? slowFactor : 1;
@@ -254,8 +262,9 @@
 			return bears;
 		},
 		get isSick() {
-			const {slowFactor, failRate, blankRate} = behaviour;
-			return isDown || slowFactor >= sickFactor || failRate + blankRate > sickRate;
+			const {slowFactor, failRate, blankRate, stallRate = 0} = behaviour;
+			const isFailing = failRate + blankRate + stallRate > sickRate;
+			return isDown || slowFactor >= sickFactor || isFailing;
 		},
 		get lastStart() {
 			return lastStart;
@@ -279,7 +288,7 @@
 					}
 				});
 			} else {
-				const duration = drawServiceTime();
+				const duration = drawServiceTime(request.serviceTime);
 				const result: SlotResult = duration > request.timeLeft ? 'timeout' : drawResult();
 				schedule(Math.min(duration, request.timeLeft), () => {
 					end(id, result);
--- a/packages/replay/src/fleet-document.ts
+++ b/packages/replay/src/fleet-document.ts
@@ -15,6 +15,8 @@
 	readonly workspaces: Readonly<Record<string, WorkspaceLimits>>;
 	/** Failure domains that operators have taken out. */
 	readonly domainsOut: readonly string[];
+	/** Names of keys that are not valid any more. */
+	readonly withdrawnKeys?: readonly string[];
 };
 
 /** What a change may replace; `version` and `digest` follow from the change. */
--- a/packages/replay/src/fleet-harness.ts
+++ b/packages/replay/src/fleet-harness.ts
@@ -10,6 +10,7 @@
 import {type ListedInstance} from '@shallotpond/policy-membership/roster';
 import {createFakeNetwork, type FakeNetwork} from '@shallotpond/testkit/fake-network';
 import {createSteerableClock} from '@shallotpond/testkit/steerable-clock';
+import {type RunState} from '@shallotpond/policy-requests/run-state';
 import {Packr} from 'msgpackr';
 import {createFakeTarget, type FakeTarget, type TargetBehaviour} from './fake-target.js';
 import {changeDocument, type FleetDocument, type FleetDocumentChange} from './fleet-document.js';
@@ -19,8 +20,10 @@
 	type FleetPolicy,
 	type FleetRequest,
 	type InstanceHost,
+	type InstancePolicies,
 	type LocalRate,
 } from './fleet-instance.js';
+import {type FleetCall} from './fleet-calls.js';
 import {type Envelope} from './fleet-messages.js';
 import {createRateLedger, type RateLedger, type WorkspaceCounts} from './rate-ledger.js';
 
@@ -54,7 +57,9 @@
 	readonly measuresBytes?: boolean;
 	/** Counts the processor time of each instance, false by default. Not repeatable. */
 	readonly measuresProcessorTime?: boolean;
-	/** Called at the first and each later start of a run of a request; for traces. */
+	/** Replaces policies, for tests of what counts violations. */
+	readonly policies?: Partial<InstancePolicies>;
+	/** Called as the fleet goes on; for traces. */
 	readonly onEvent?: (event: FleetEvent) => void;
 };
 
@@ -65,7 +70,35 @@
 			readonly at: number;
 			readonly request: string;
 			readonly result: string;
-	  };
+			/** Undefined for a request without a method. */
+			readonly runState?: RunState;
+			/** Whether an ideal bucket for the whole fleet had a token on arrival. */
+			readonly isWithinRate: boolean;
+	  }
+	| {readonly kind: 'admitted'; readonly at: number; readonly request: string}
+	/** Its instance ended before the answer. */
+	| {
+			readonly kind: 'lost';
+			readonly at: number;
+			readonly request: string;
+			readonly instance: number;
+	  }
+	| {
+			readonly kind: 'adopted';
+			readonly at: number;
+			readonly instance: number;
+			readonly version: number;
+	  }
+	| {
+			readonly kind: 'health';
+			readonly at: number;
+			readonly instance: number;
+			readonly service: string;
+			readonly target: string;
+			readonly state: string;
+	  }
+	/** A call to the configuration service, a watch or a read. */
+	| {readonly kind: 'configuration-read'; readonly at: number};
 
 export type Ejection = {
 	/** Milliseconds of true time. */
@@ -121,6 +154,8 @@
 	/** Milliseconds, 2,000 by default, at most 3,800. */
 	readonly timeout?: number;
 	readonly isPoisoned?: boolean;
+	/** See `fleet-calls.ts`. */
+	readonly call?: FleetCall;
 };
 
 export type Fleet = {
@@ -147,6 +182,9 @@
 	partition(parts: ReadonlyArray<readonly number[]>): void;
 	/** Loses what one instance sends to a target, or the answers of the target. */
 	cutTarget(instance: number, target: string, direction: 'requests' | 'answers'): void;
+	/** Ends a cut from one instance to another. */
+	heal(from: number, to: number): void;
+	healTarget(instance: number, target: string, direction: 'requests' | 'answers'): void;
 	/** Ends all cuts and partitions. */
 	healAll(): void;
 	pause(instance: number, milliseconds: number): void;
@@ -162,6 +200,8 @@
 	lagList(milliseconds: number): void;
 	/** Makes the configuration service unreachable or reachable. */
 	setConfigurationService(isReachable: boolean): void;
+	/** The configuration service serves this document instead of the newest until undefined. */
+	serveDocument(replacement: FleetDocument | undefined): void;
 	/** Returns the version of the change. */
 	changeConfiguration(change: FleetDocumentChange): number;
 	/** Takes a failure domain out or in. Returns the version of the change. */
@@ -178,6 +218,8 @@
 /** Milliseconds between an instance and a target, one way. */
 const targetDelay = 0.5;
 const configurationDelay = 25;
+/** Milliseconds after which a long poll is answered without a change; that of the daemon. */
+const watchWait = 4000;
 /** Errors in a row after which the local balancer ejects; it does not report it itself. */
 const localErrorsToEject = 5;
 
@@ -218,6 +260,7 @@
 	let visibleLeaving: ReadonlySet<string> = new Set();
 	let {document} = organisation;
 	let isServiceReachable = true;
+	let served: FleetDocument | undefined;
 	let listLag = defaultLag;
 	let ejections: Ejection[] = [];
 	let latency: Histogram = createLatencyHistogram();
@@ -308,10 +351,18 @@
 		}
 	}
 
-	function end(request: FleetRequest, result: string): void {
+	function end(request: FleetRequest, result: string, runState?: RunState): void {
 		const arrival = arrivals.get(request.id);
 		arrivals.delete(request.id);
-		options.onEvent?.({kind: 'end', at: now(), request: request.id, result});
+		const isWithinRate = arrival?.isWithinRate ?? false;
+		options.onEvent?.({
+			kind: 'end',
+			at: now(),
+			request: request.id,
+			result,
+			...(runState !== undefined && {runState}),
+			isWithinRate,
+		});
 		if (arrival && result === 'ok') {
 			latency.recordValue(Math.round((now() - arrival.at) * 1000));
 		}
@@ -355,30 +406,39 @@
 			};
 		},
 		readDocument(_after, callback) {
+			options.onEvent?.({kind: 'configuration-read', at: now()});
 			schedule(configurationDelay, () => {
-				callback(isServiceReachable ? document : undefined);
+				callback(isServiceReachable ? (served ?? document) : undefined);
 			});
 		},
 		watchDocument(after, callback) {
+			options.onEvent?.({kind: 'configuration-read', at: now()});
 			schedule(configurationDelay, () => {
-				if (!isServiceReachable || document.version > after) {
-					callback(isServiceReachable ? document : undefined);
+				const known = served ?? document;
+				if (!isServiceReachable || known.version > after) {
+					callback(isServiceReachable ? known : undefined);
 				} else {
-					watches.push({after, callback});
+					const watch = {after, callback};
+					watches.push(watch);
+					schedule(watchWait, () => {
+						endWatch(watch);
+					});
 				}
 			});
 		},
-		onAdmitted({workspace}) {
+		onAdmitted({workspace, id}) {
+			options.onEvent?.({kind: 'admitted', at: now(), request: id});
 			ledgerOf(workspace).admit(now());
 		},
-		onRefused(request, cause) {
+		onRefused(request, cause, ending) {
 			const arrival = arrivals.get(request.id);
 			ledgerOf(request.workspace).refuse(cause, arrival?.isWithinRate ?? false);
-			end(request, `refused-${cause}`);
+			const reason = ending?.kind === 'refused' ? ending.code : cause;
+			end(request, `refused-${reason}`, ending?.runState);
 		},
-		onDone(request, result) {
+		onDone(request, result, ending) {
 			ledgerOf(request.workspace).counts[result === 'ok' ? 'served' : 'failed']++;
-			end(request, result);
+			end(request, result, ending?.runState);
 		},
 		onOutcome(instance, {service, target}, result) {
 			if (policy === 'local' && result !== 'cancelled' && result !== 'shed') {
@@ -391,11 +451,14 @@
 			}
 		},
 		onHealthChange(instance, service, {state, target, reason}) {
+			const {index} = instance;
+			options.onEvent?.({kind: 'health', at: now(), instance: index, service, target, state});
 			if (state === 'ejected') {
 				eject(instance, service, target, reason);
 			}
 		},
-		onAdopted(_instance, version) {
+		onAdopted(instance, version) {
+			options.onEvent?.({kind: 'adopted', at: now(), instance: instance.index, version});
 			noteSpread(version);
 		},
 		isTargetLeaving: target => visibleLeaving.has(target),
@@ -441,6 +504,7 @@
 			random: forkRandom(),
 			host,
 			measuresProcessorTime: options.measuresProcessorTime ?? false,
+			...(options.policies !== undefined && {policies: options.policies}),
 		});
 		instances[index] = instance;
 		addresses.set(address, index);
@@ -461,6 +525,7 @@
 			if (arrival.instance === index) {
 				arrivals.delete(id);
 				lost++;
+				options.onEvent?.({kind: 'lost', at: now(), request: id, instance: index});
 			}
 		}
 
@@ -518,11 +583,19 @@
 		return live[Math.floor(entryRandom() * live.length)]?.index ?? 0;
 	}
 
+	function endWatch(watch: (typeof watches)[number]): void {
+		const position = watches.indexOf(watch);
+		if (position !== -1) {
+			watches.splice(position, 1);
+			watch.callback(isServiceReachable ? (served ?? document) : undefined);
+		}
+	}
+
 	function answerWatches(): void {
 		const callbacks = watches.splice(0).map(({callback}) => callback);
 		schedule(configurationDelay, () => {
 			for (const callback of callbacks) {
-				callback(isServiceReachable ? document : undefined);
+				callback(isServiceReachable ? (served ?? document) : undefined);
 			}
 		});
 	}
@@ -552,7 +625,15 @@
 		get document() {
 			return document;
 		},
-		request({id, service, workspace, instance, timeout = defaultTimeout, isPoisoned = false}) {
+		request({
+			id,
+			service,
+			workspace,
+			instance,
+			timeout = defaultTimeout,
+			isPoisoned = false,
+			call,
+		}) {
 			if (timeout > longestTimeout) {
 				throw new RangeError(`the timeout of ${timeout} ms is above ${longestTimeout} ms`);
 			}
@@ -563,11 +644,20 @@
 			if (instances[index]!.isEnded) {
 				// The load balancer of the platform has not noticed the end of the instance.
 				lost++;
+				const result = 'no-instance';
+				options.onEvent?.({kind: 'end', at: now(), request: requestId, result, isWithinRate});
 				return requestId;
 			}
 
 			arrivals.set(requestId, {at: now(), isWithinRate, instance: index});
-			instances[index]!.request({id: requestId, service, workspace, timeout, isPoisoned});
+			instances[index]!.request({
+				id: requestId,
+				service,
+				workspace,
+				timeout,
+				isPoisoned,
+				...(call !== undefined && {call}),
+			});
 			return requestId;
 		},
 		at,
@@ -643,6 +733,12 @@
 		cutTarget(instance, target, direction) {
 			targetCuts.add(`${instance}/${target}/${direction}`);
 		},
+		heal(from, to) {
+			network.heal(addressFor(from), addressFor(to));
+		},
+		healTarget(instance, target, direction) {
+			targetCuts.delete(`${instance}/${target}/${direction}`);
+		},
 		healAll() {
 			network.healAll();
 			targetCuts.clear();
@@ -681,6 +777,10 @@
 				answerWatches();
 			}
 		},
+		serveDocument(replacement) {
+			served = replacement;
+			answerWatches();
+		},
 		changeConfiguration,
 		setDomain(failureDomain, isOut) {
 			const others = document.domainsOut.filter(domain => domain !== failureDomain);
--- a/packages/replay/src/fleet-instance.ts
+++ b/packages/replay/src/fleet-instance.ts
@@ -45,8 +45,18 @@
 	type VersionSpread,
 } from '@shallotpond/policy-membership/version-spread';
 import {type SteerableClock} from '@shallotpond/testkit/steerable-clock';
+import {
+	createFleetCalls,
+	createProgress,
+	type CallEnd,
+	type CallMessage,
+	type CallPolicies,
+	type CallProgress,
+	type FleetCall,
+} from './fleet-calls.js';
 import {type FleetDocument} from './fleet-document.js';
 import {type Envelope, type FleetMessage} from './fleet-messages.js';
+import {EndlessTurnError} from './replay-error.js';
 
 /** `fleet` coordinates; with `local`, each instance decides by itself. */
 export type FleetPolicy = 'fleet' | 'local';
@@ -63,9 +73,23 @@
 	readonly timeout: number;
 	/** Each target that runs it crashes. */
 	readonly isPoisoned: boolean;
+	/** Takes the steps of `fleet-calls.ts`; otherwise the request is tried once and has no key. */
+	readonly call?: FleetCall;
 };
 
-export type RefusalCause = 'rate' | 'slots';
+/**
+ * `guard` is a refusal by a registry or by an isolated instance, `rejected` one that the caller
+ * brought about: a used idempotency key, a crashing request or a withdrawn key.
+ */
+export type RefusalCause = 'rate' | 'slots' | 'guard' | 'rejected';
+
+/** Replaced by tests that turn a guard off. */
+export type InstancePolicies = CallPolicies & {
+	readonly createRateRequester: typeof createRateRequester;
+	readonly createSlotCoordinator: typeof createSlotCoordinator;
+	readonly createSlotHolder: typeof createSlotHolder;
+	readonly createVersionSpread: typeof createVersionSpread;
+};
 
 export type InstanceHost = {
 	send(envelope: Envelope): void;
@@ -75,15 +99,20 @@
 	startRun(
 		instance: FleetInstance,
 		grant: HeldGrant,
-		request: {readonly id: string; readonly isPoisoned: boolean; readonly timeLeft: number},
+		request: {
+			readonly id: string;
+			readonly isPoisoned: boolean;
+			readonly timeLeft: number;
+			readonly serviceTime?: number;
+		},
 		onAnswer: (result: SlotResult, generation: string) => void,
 	): () => void;
 	/** The configuration service; the callback gets undefined when it cannot be reached. */
 	readDocument(after: number, callback: (document: FleetDocument | undefined) => void): void;
 	watchDocument(after: number, callback: (document: FleetDocument | undefined) => void): void;
 	onAdmitted(request: FleetRequest): void;
-	onRefused(request: FleetRequest, cause: RefusalCause): void;
-	onDone(request: FleetRequest, result: SlotResult): void;
+	onRefused(request: FleetRequest, cause: RefusalCause, end?: CallEnd): void;
+	onDone(request: FleetRequest, result: SlotResult, end?: CallEnd): void;
 	onOutcome(instance: FleetInstance, grant: HeldGrant, result: SlotResult): void;
 	onHealthChange(instance: FleetInstance, service: string, change: HealthChange): void;
 	onAdopted(instance: FleetInstance, version: number): void;
@@ -131,16 +160,31 @@
 	readonly random: Random;
 	readonly host: InstanceHost;
 	readonly measuresProcessorTime: boolean;
+	readonly policies?: Partial<InstancePolicies>;
 };
 
 const ownerInterval = 5;
 const requesterInterval = 10;
 const slotInterval = 100;
+const callInterval = 50;
+/** Messages of an instance to itself in one turn; two policies that answer each other exceed any bound. */
+const mostOwnMessages = 100_000;
 const pullTimeout = 1000;
 /** The instance waits a little longer than what it told the target, so that no run outlives its slot. */
 const answerMargin = 20;
 
-type OpenRequest = {readonly request: FleetRequest; readonly deadline: number};
+type OpenRequest = {
+	readonly request: FleetRequest;
+	readonly deadline: number;
+	readonly progress?: CallProgress;
+};
+
+/** Codes of refusals that the caller brought about. */
+const rejections: ReadonlySet<string> = new Set([
+	'idempotency-key-used',
+	'crashing-request',
+	'unknown-key',
+]);
 type Run = {
 	readonly open: OpenRequest;
 	readonly grant: HeldGrant;
@@ -155,6 +199,13 @@
 
 export function createFleetInstance(options: FleetInstanceOptions): FleetInstance {
 	const {id, address, clock, policy, host, random} = options;
+	const policies = {
+		createRateRequester,
+		createSlotCoordinator,
+		createSlotHolder,
+		createVersionSpread,
+		...options.policies,
+	};
 	const isFleet = policy === 'fleet';
 	const exchangesHeartbeats = isFleet || options.localRate === 'single-counter';
 	const startedAt = clock.monotonic();
@@ -162,6 +213,7 @@
 	const waitingForToken = new Map<number, OpenRequest>();
 	const waitingForSlot = new Map<string, OpenRequest>();
 	const runs = new Map<string, Run>();
+	const calls = new Map<CallProgress, OpenRequest>();
 	const delayed: Array<() => void> = [];
 	const ownMessages: Envelope[] = [];
 	const pulls = new Map<number, (document: FleetDocument | undefined) => void>();
@@ -175,7 +227,7 @@
 	const limits = (workspace: string) => document.workspaces[workspace];
 	const minorityFraction = () => document.minorityFraction;
 
-	const spread: VersionSpread = createVersionSpread({
+	const spread: VersionSpread = policies.createVersionSpread({
 		self: id,
 		failureDomain: options.failureDomain,
 		random,
@@ -209,7 +261,7 @@
 			return createStaticSplit({instances: options.instances, limits});
 		}
 
-		return createRateRequester({
+		return policies.createRateRequester({
 			owner: isFleet ? membership.ownerOf : electedOwner,
 			ownShare: isFleet ? ownShare : () => 0,
 			limits,
@@ -218,7 +270,7 @@
 	}
 
 	const requester = createRequester();
-	const coordinator = createSlotCoordinator({
+	const coordinator = policies.createSlotCoordinator({
 		self: id,
 		fraction: membership.fraction,
 		availability,
@@ -228,9 +280,41 @@
 		},
 	});
 	const holder = isFleet
-		? createSlotHolder({self: id, ownerOf: membership.ownerOf, availability, random})
+		? policies.createSlotHolder({self: id, ownerOf: membership.ownerOf, availability, random})
 		: createLocalBalancer({self: id, availability, random});
 
+	const isKeyWithdrawn = (key: string) => document.withdrawnKeys?.includes(key) ?? false;
+	const fleetCalls = createFleetCalls({
+		self: id,
+		membership,
+		now,
+		send,
+		ask(progress) {
+			const open = calls.get(progress);
+			if (open !== undefined) {
+				ask(open);
+			}
+		},
+		onEnd: endCall,
+		isKeyWithdrawn,
+		policies: options.policies,
+	});
+
+	function endCall(progress: CallProgress, end: CallEnd): void {
+		const open = calls.get(progress);
+		calls.delete(progress);
+		if (open === undefined) {
+			return;
+		}
+
+		if (end.kind === 'done') {
+			host.onDone(open.request, end.result, end);
+		} else {
+			const cause = rejections.has(end.code) ? 'rejected' : 'guard';
+			host.onRefused(open.request, end.code === 'slots' ? 'slots' : cause, end);
+		}
+	}
+
 	function configure(): void {
 		const services = new Map(Object.entries(document.services));
 		coordinator.configure(services, now());
@@ -257,6 +341,7 @@
 		const isOutermost = depth === 0;
 		const before = isOutermost && options.measuresProcessorTime ? processorMicroseconds() : 0;
 		depth++;
+		let handled = 0;
 		action();
 		for (
 			let envelope = isOutermost ? ownMessages.shift() : undefined;
@@ -264,6 +349,10 @@
 			envelope = ownMessages.shift()
 		) {
 			handle(envelope);
+			if (++handled > mostOwnMessages) {
+				const {kind} = envelope.message;
+				throw new EndlessTurnError('endless-turn', `${id} sends itself "${kind}" without end`);
+			}
 		}
 
 		depth--;
@@ -299,8 +388,29 @@
 		}
 
 		host.onAdmitted(open.request);
+		if (open.progress === undefined) {
+			ask(open);
+		} else {
+			calls.set(open.progress, open);
+			fleetCalls.start(open.progress);
+		}
+	}
+
+	function ask(open: OpenRequest): void {
 		const {service, workspace} = open.request;
-		const {request, step} = holder.ask({service, workspace, deadline: open.deadline}, now());
+		const {triedTargets, triedDomains} = open.progress ?? {};
+		const {request, step} = holder.ask(
+			{
+				service,
+				workspace,
+				deadline: open.deadline,
+				...(triedTargets !== undefined && {
+					excludedTargets: [...triedTargets],
+					avoidedFailureDomains: triedDomains,
+				}),
+			},
+			now(),
+		);
 		waitingForSlot.set(request, open);
 		runStep(step);
 	}
@@ -324,16 +434,31 @@
 		const open = waitingForSlot.get(event.request);
 		waitingForSlot.delete(event.request);
 		if (event.kind === 'refused') {
-			if (open !== undefined) {
-				host.onRefused(open.request, 'slots');
-			}
-		} else if (open === undefined || !holder.mayDispatch(event.grant, () => true, now())) {
+			refuseSlot(open);
+			return;
+		}
+
+		const key = open?.progress?.call.key;
+		const isKeyValid = () => key === undefined || !isKeyWithdrawn(key);
+		const isUsable = open !== undefined && holder.mayDispatch(event.grant, isKeyValid, now());
+		const progress = open?.progress;
+		if (isUsable && progress === undefined) {
+			startRun(open, event.grant);
+		} else if (progress !== undefined && fleetCalls.mayStart(progress, event.grant, isUsable)) {
+			startRun(open!, event.grant);
+		} else {
 			runStep(holder.release(event.grant, undefined, now()));
-			if (open !== undefined) {
-				host.onRefused(open.request, 'slots');
+			if (progress === undefined) {
+				refuseSlot(open);
 			}
-		} else {
-			startRun(open, event.grant);
+		}
+	}
+
+	function refuseSlot(open: OpenRequest | undefined): void {
+		if (open?.progress !== undefined) {
+			fleetCalls.slotRefused(open.progress);
+		} else if (open !== undefined) {
+			host.onRefused(open.request, 'slots');
 		}
 	}
 
@@ -342,11 +467,11 @@
 		const key = grant.grant;
 		const run: Run = {open, grant, startedAt: now(), cancel: undefined};
 		runs.set(key, run);
-		const {id: requestId, isPoisoned} = open.request;
+		const {id: requestId, isPoisoned, call} = open.request;
 		run.cancel = host.startRun(
 			instance,
 			grant,
-			{id: requestId, isPoisoned, timeLeft},
+			{id: requestId, isPoisoned, timeLeft, serviceTime: call?.serviceTime},
 			(result, generation) => {
 				whenAwake(() => {
 					finishRun(key, result, generation);
@@ -373,14 +498,25 @@
 		const duration = now() - run.startedAt;
 		const outcome: SlotOutcome = {result, latency: duration, slotTime: duration, generation};
 		host.onOutcome(instance, run.grant, result);
-		host.onDone(run.open.request, result);
+		const {progress, request} = run.open;
+		if (progress === undefined) {
+			host.onDone(request, result);
+		}
+
 		runStep(holder.release(run.grant, outcome, now()));
+		if (progress !== undefined) {
+			fleetCalls.attemptEnded(progress, run.grant, result);
+		}
 	}
 
 	function finishRequest(request: SpreadRequest, found: FleetDocument | undefined): void {
 		const outcome: SpreadOutcome = found
 			? {kind: 'document', version: found.version, digest: found.digest}
 			: {kind: 'failed'};
+		if (found !== undefined && request.kind !== 'pull') {
+			membership.noteServiceReached(now());
+		}
+
 		const isSame = found?.version === document.version;
 		const isHigher = spread.complete(
 			request,
@@ -398,6 +534,19 @@
 		document = found;
 		configure();
 		host.onAdopted(instance, found.version);
+		endWithdrawn();
+	}
+
+	/** A request in progress for a withdrawn key is reset; linear in the requests in progress. */
+	function endWithdrawn(): void {
+		for (const [key, run] of runs) {
+			const {progress} = run.open;
+			if (progress !== undefined && isKeyWithdrawn(progress.call.key)) {
+				progress.isKeyWithdrawn = true;
+				run.cancel?.();
+				finishRun(key, 'cancelled');
+			}
+		}
 	}
 
 	function pull(request: SpreadRequest & {readonly kind: 'pull'}): void {
@@ -471,6 +620,10 @@
 		send(membership.receive(message, now()));
 	};
 
+	const toCalls = (message: CallMessage, from: InstanceId) => {
+		fleetCalls.handle(message, from);
+	};
+
 	const handlers: Handlers<FleetMessage, InstanceId> = {
 		heartbeat: toMembership,
 		handover: toMembership,
@@ -487,6 +640,18 @@
 		'slot-grant': toHolder,
 		'slot-refusal': toHolder,
 		'slot-renewed': toHolder,
+		'crash-report': toCalls,
+		'crash-query': toCalls,
+		'crash-answer': toCalls,
+		'crash-notice': toCalls,
+		'crash-notice-seen': toCalls,
+		'idempotency-claim': toCalls,
+		'idempotency-answer': toCalls,
+		'idempotency-settle': toCalls,
+		'idempotency-settled': toCalls,
+		'idempotency-handover-ask': toCalls,
+		'idempotency-handover': toCalls,
+		'stop-notice': toCalls,
 		'document-ask'({id: pullId}, from) {
 			send([{to: from, message: {kind: 'document-answer', id: pullId, document}}]);
 		},
@@ -539,7 +704,22 @@
 		},
 		request(request) {
 			whenAwake(() => {
-				const open = {request, deadline: now() + request.timeout};
+				const {call} = request;
+				const deadline = now() + request.timeout;
+				const progress = call && createProgress(call, request.workspace, deadline);
+				const open = {request, deadline, ...(progress !== undefined && {progress})};
+				if (call !== undefined && isKeyWithdrawn(call.key)) {
+					const end = {kind: 'refused', code: 'unknown-key', runState: 'not-run'} as const;
+					host.onRefused(request, 'rejected', end);
+					return;
+				}
+
+				if (call !== undefined && membership.isIsolated(now())) {
+					const end = {kind: 'refused', code: 'isolated', runState: 'not-run'} as const;
+					host.onRefused(request, 'guard', end);
+					return;
+				}
+
 				const turn = requester.admit(request.workspace, now());
 				if (turn.admission.kind === 'wait') {
 					waitingForToken.set(turn.admission.request, open);
@@ -572,12 +752,13 @@
 		},
 		leave() {
 			whenAwake(() => {
+				fleetCalls.announceStop();
 				send(coordinator.export(membership.ownerOf, now()));
 				send(membership.leave(now()));
 			});
 		},
 		get openRequests() {
-			return waitingForToken.size + waitingForSlot.size + runs.size;
+			return waitingForToken.size + Math.max(calls.size, waitingForSlot.size + runs.size);
 		},
 	};
 
@@ -596,6 +777,9 @@
 		every(slotInterval, () => {
 			send(coordinator.tick(now()));
 		});
+		every(callInterval, () => {
+			fleetCalls.tick();
+		});
 	} else {
 		host.schedule(1, () => {
 			whenAwake(watchAlone);
--- a/packages/replay/src/fleet-messages.ts
+++ b/packages/replay/src/fleet-messages.ts
@@ -5,6 +5,7 @@
 import {type SlotMessage} from '@shallotpond/policy-dispatch/slot-messages';
 import {type TokenMessage} from '@shallotpond/policy-limits/token-messages';
 import {type MembershipMessage} from '@shallotpond/policy-membership/heartbeat';
+import {type CallMessage} from './fleet-calls.js';
 import {type FleetDocument} from './fleet-document.js';
 
 /** A peer is asked for its whole document. */
@@ -16,7 +17,7 @@
 };
 
 export type FleetMessage =
-	MembershipMessage | TokenMessage | SlotMessage | DocumentAsk | DocumentAnswer;
+	MembershipMessage | TokenMessage | SlotMessage | CallMessage | DocumentAsk | DocumentAnswer;
 
 export type Envelope = {
 	readonly from: InstanceId;
--- a/packages/replay/src/rate-ledger.ts
+++ b/packages/replay/src/rate-ledger.ts
@@ -89,8 +89,9 @@
 			}
 		},
 		refuse(cause, wasWithinRate) {
-			counts[cause === 'rate' ? 'refusedByRate' : 'refusedBySlots']++;
-			counts.refusedWithinRate += wasWithinRate ? 1 : 0;
+			counts.refusedByRate += cause === 'rate' ? 1 : 0;
+			counts.refusedBySlots += cause === 'slots' ? 1 : 0;
+			counts.refusedWithinRate += wasWithinRate && cause !== 'rejected' ? 1 : 0;
 			counts.refusedByRateWithinRate += wasWithinRate && cause === 'rate' ? 1 : 0;
 		},
 		resetCounts() {
--- /dev/null
+++ b/packages/replay/src/replay.ts
@@ -0,0 +1,97 @@
+/**
+ * `npm run replay -- <trace> <outcomes>`: replays a trace and prints which stated outcomes hold, with
+ * the figure seen. Exits with 1 when one does not hold, and with 2 for bad input.
+ */
+import {readFileSync, realpathSync} from 'node:fs';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {parseArgs} from 'node:util';
+import {judge, parseOutcomes, type Verdict} from './outcomes.js';
+import {EndlessTurnError, ReplayError} from './replay-error.js';
+import {parseTrace} from './trace-format.js';
+import {namesOf, runTrace, type TraceRunOptions} from './trace-run.js';
+
+const exitCodes = {holds: 0, violated: 1, badInput: 2} as const;
+const usage = 'usage: npm run replay -- <trace.jsonl> <outcomes.json>';
+
+function formatFigure(figure: number): string {
+	return Number.isFinite(figure) ? String(Math.round(figure * 10_000) / 10_000) : 'never';
+}
+
+function formatVerdict({outcome, figure, holds}: Verdict): string {
+	const word = outcome.counted === true ? 'counted' : holds ? 'holds  ' : 'FAILS  ';
+	return `${word} ${outcome.name}: ${formatFigure(figure)}`;
+}
+
+function readInput(path: string): string {
+	try {
+		return readFileSync(path, 'utf8');
+	} catch (error) {
+		throw new ReplayError('unreadable-file', (error as Error).message, {cause: error});
+	}
+}
+
+function replayFiles(
+	paths: readonly string[],
+	print: (line: string) => void,
+	options: TraceRunOptions,
+): number {
+	const [tracePath, outcomesPath] = paths;
+	if (tracePath === undefined || outcomesPath === undefined || paths.length > 2) {
+		throw new ReplayError('usage', usage);
+	}
+
+	const trace = parseTrace(readInput(tracePath), namesOf);
+	const outcomes = parseOutcomes(readInput(outcomesPath));
+	const verdicts = judge(runTrace(trace, options), outcomes);
+	for (const verdict of verdicts) {
+		print(formatVerdict(verdict));
+	}
+
+	return verdicts.every(({holds}) => holds) ? exitCodes.holds : exitCodes.violated;
+}
+
+/** Returns the exit code: 0, 1 when an outcome does not hold or the run does not end, 2 for bad input. */
+export function replay(
+	paths: readonly string[],
+	print: (line: string) => void,
+	options: TraceRunOptions = {},
+): number {
+	try {
+		return replayFiles(paths, print, options);
+	} catch (error) {
+		if (error instanceof ReplayError) {
+			print(error.message);
+			return exitCodes.badInput;
+		}
+
+		if (error instanceof EndlessTurnError) {
+			print(`FAILS   the run comes to its end: ${error.message}`);
+			return exitCodes.violated;
+		}
+
+		throw error;
+	}
+}
+
+function main(): void {
+	let paths: string[];
+	try {
+		({positionals: paths} = parseArgs({allowPositionals: true}));
+	} catch (error) {
+		process.stderr.write(`${(error as Error).message}\n${usage}\n`);
+		process.exitCode = exitCodes.badInput;
+		return;
+	}
+
+	process.exitCode = replay(paths, line => {
+		process.stdout.write(`${line}\n`);
+	});
+}
+
+if (
+	process.argv[1] !== undefined &&
+	realpathSync(process.argv[1]) === fileURLToPath(import.meta.url)
+) {
+	main();
+}
--- /dev/null
+++ b/packages/replay/src/trace-catalogue.ts
@@ -0,0 +1,877 @@
+/**
+ * The traces at the sizes of the two organisations, with the outcomes that the design page states for
+ * them. Bounds come from sections 2 and 3 of that page; what it only says to count is `counted`.
+ */
+import {createSeededRandom} from '@shallotpond/kernel/random';
+import {type Organisation} from './fleet-harness.js';
+import {fjordvik, inkworks} from './organisations.js';
+import {type Outcome} from './outcomes.js';
+import {type TraceEventInput, type TraceHeaderInput} from './trace-format.js';
+
+export type CatalogueTrace = {
+	readonly name: string;
+	readonly header: TraceHeaderInput;
+	/** In order of time. */
+	readonly events: readonly TraceEventInput[];
+	readonly outcomes: readonly Outcome[];
+};
+
+export type CatalogueOptions = {
+	/** Instances; 48 by default. D of the design page is the same number. */
+	readonly instances?: number;
+};
+
+type OrganisationName = TraceHeaderInput['organisation'];
+
+type Profile = {
+	readonly name: OrganisationName;
+	readonly organisation: Organisation;
+	/** Service of ordinary lookups. */
+	readonly lookups: string;
+	/** Milliseconds in which callers expect a lookup. */
+	readonly lookupTimeout: number;
+	/** Service whose requests must run at most once. */
+	readonly orders: string;
+	readonly downloads: string;
+	/** Bytes. */
+	readonly downloadSize: number;
+	/** Service whose answers may be blank. */
+	readonly renderings: string;
+	readonly orderTrace: string;
+	readonly lookupTrace: string;
+	readonly downloadTrace: string;
+	readonly renderingTrace: string;
+};
+
+const profiles: readonly Profile[] = [
+	{
+		name: 'fjordvik',
+		organisation: fjordvik,
+		lookups: 'roster',
+		lookupTimeout: 300,
+		orders: 'swaps',
+		downloads: 'handbook',
+		downloadSize: 5_000_000,
+		renderings: 'coverage',
+		orderTrace: 'double-swap',
+		lookupTrace: 'stalled-roster-lookup',
+		downloadTrace: 'dropped-handbook-download',
+		renderingTrace: 'blank-coverage',
+	},
+	{
+		name: 'inkworks',
+		organisation: inkworks,
+		lookups: 'prices',
+		lookupTimeout: 150,
+		orders: 'orders',
+		downloads: 'fontpacks',
+		downloadSize: 2_000_000,
+		renderings: 'proofs',
+		orderTrace: 'resent-print-order',
+		lookupTrace: 'stalled-price-lookup',
+		downloadTrace: 'dropped-font-pack-download',
+		renderingTrace: 'blank-proofs',
+	},
+];
+
+const fleetSize = 48;
+const second = 1000;
+/** Milliseconds for which a new owner refuses keys that it does not know, and a margin. */
+const idempotencyWarmUp = 130 * second;
+/** Milliseconds; the target of the design page for keys, failure domains and configurations. */
+const withinSeconds = 3 * second;
+/** Milliseconds in which a sick target is ejected at 20 requests/s. */
+const detectionTime = 3 * second;
+/** Part of the steady state; the measure of the worst-served workspace, for want of another. */
+const leastOfSteady = 0.95;
+
+/** Holds in every trace. */
+const invariants: readonly Outcome[] = [
+	{name: 'duplicate-runs = 0', kind: 'duplicate-runs', equals: 0},
+	{name: 'not-run-but-ran = 0', kind: 'not-run-but-ran', equals: 0},
+	{name: 'in-flight-above-slots = 0', kind: 'in-flight-above-slots', equals: 0},
+	{name: 'connections-above-limit = 0', kind: 'connections-above-limit', equals: 0},
+	{name: 'admitted-above-rate = 0', kind: 'admitted-above-rate', equals: 0},
+	{name: 'healthy capacity never below floor', kind: 'floor-violations', equals: 0},
+	{name: 'no version reverts', kind: 'version-reversions', equals: 0},
+	{name: 'extra load <= 0.1', kind: 'extra-load', atMost: 0.1},
+	{name: 'every request is answered', kind: 'unanswered', equals: 0},
+];
+
+const coldSlots: Outcome = {
+	name: 'in-flight-above-cold-slots = 0',
+	kind: 'in-flight-above-cold-slots',
+	equals: 0,
+};
+const noFalseEjections: Outcome = {
+	name: 'no false ejections',
+	kind: 'false-ejections',
+	equals: 0,
+};
+const noEjections: Outcome = {name: 'no ejections', kind: 'ejections', equals: 0};
+const refusedCounted: Outcome = {
+	name: 'refused-within-rate',
+	kind: 'refused-within-rate',
+	counted: true,
+};
+/** With no fault present. */
+const refusedRarely: Outcome = {
+	name: 'refused-within-rate <= 1 in 1,000',
+	kind: 'refused-within-rate-part',
+	atMost: 0.001,
+};
+const servedCounted: Outcome = {
+	name: 'served part of the whole trace',
+	kind: 'served-part',
+	from: 0,
+	until: 86_400_000,
+	counted: true,
+};
+
+type Load = {
+	/** Part of its rate that each workspace sends. */
+	readonly load: number;
+	/** Milliseconds. */
+	readonly duration: number;
+	/** Part of the requests by service; by capacity when absent. */
+	readonly shares?: Readonly<Record<string, number>>;
+	readonly hasIdempotencyKeys?: boolean;
+	readonly without?: readonly string[];
+};
+
+function capacityShares({organisation}: Profile): Record<string, number> {
+	const capacities = Object.entries(organisation.document.services).map(
+		([name, {targets, slots}]) =>
+			[name, (targets.length * slots) / organisation.behaviour[name]!.serviceTime] as const,
+	);
+	const total = capacities.reduce((sum, [, capacity]) => sum + capacity, 0);
+	return Object.fromEntries(capacities.map(([name, capacity]) => [name, capacity / total]));
+}
+
+/** One service gets the given part, the others share the rest by capacity. */
+function sharesWith(profile: Profile, service: string, part: number): Record<string, number> {
+	const shares = capacityShares(profile);
+	const rest = 1 - shares[service]!;
+	return Object.fromEntries(
+		Object.entries(shares).map(([name, share]) => [
+			name,
+			name === service ? part : (share / rest) * (1 - part),
+		]),
+	);
+}
+
+/** One stream per workspace and service. */
+function createStreams(profile: Profile, load: Load): TraceEventInput[] {
+	const {workspaces} = profile.organisation.document;
+	const shares = load.shares ?? capacityShares(profile);
+	const events: TraceEventInput[] = [];
+	for (const [workspace, {rate}] of Object.entries(workspaces)) {
+		for (const [service, share] of Object.entries(shares)) {
+			if (load.without?.includes(workspace)) {
+				continue;
+			}
+
+			const isOrder = service === profile.orders;
+			events.push({
+				kind: 'stream',
+				at: 0,
+				workspace,
+				service,
+				method: isOrder ? 'POST' : 'GET',
+				idempotent: !isOrder,
+				rate: Math.round(rate * share * load.load * 1000) / 1000,
+				duration: load.duration,
+				seed: events.length + 1,
+				...(service === profile.downloads && {size: profile.downloadSize}),
+				...(service === profile.lookups && {timeout: profile.lookupTimeout}),
+				...(isOrder && load.hasIdempotencyKeys && {hasIdempotencyKeys: true}),
+			});
+		}
+	}
+
+	return events;
+}
+
+type Content = {
+	readonly duration: number;
+	readonly warmUp?: number;
+	readonly events: readonly TraceEventInput[];
+	readonly outcomes: readonly Outcome[];
+};
+
+type TraceDraft = (profile: Profile, instances: number) => Content;
+
+function inOrder(events: readonly TraceEventInput[]): TraceEventInput[] {
+	return [...events].sort((left, right) => left.at - right.at);
+}
+
+function pickInstances(count: number, instances: number, seed: number): number[] {
+	const random = createSeededRandom(seed);
+	const picked = new Set<number>();
+	while (picked.size < Math.min(count, instances)) {
+		picked.add(Math.floor(random() * instances));
+	}
+
+	return [...picked];
+}
+
+/** The same order arrives on two or three instances at the same time and again later. */
+function createResentOrders(profile: Profile, instances: number, from: number): TraceEventInput[] {
+	const random = createSeededRandom(7);
+	const workspaces = Object.keys(profile.organisation.document.workspaces);
+	const gaps = [0, 5, 50, 300, 1500, 4000];
+	const events: TraceEventInput[] = [];
+	for (let order = 0; order < 40; order++) {
+		const workspace = workspaces[order % workspaces.length]!;
+		for (const gap of [0, gaps[order % gaps.length]!, 2 * gaps[(order + 2) % gaps.length]!]) {
+			events.push({
+				kind: 'request',
+				at: from + order * 250 + gap,
+				workspace,
+				service: profile.orders,
+				method: 'POST',
+				idempotent: false,
+				idempotencyKey: `order-${order}`,
+				fingerprint: `order-${order}`,
+				serviceTime: 200,
+				instance: Math.floor(random() * instances),
+			});
+		}
+	}
+
+	return events;
+}
+
+function ordinary(profile: Profile): Content {
+	const duration = 600 * second;
+	return {
+		duration,
+		events: createStreams(profile, {load: 0.5, duration}),
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noEjections,
+			refusedRarely,
+			{
+				name: 'configuration reads <= 20/s',
+				kind: 'configuration-reads-per-second',
+				atMost: 20,
+			},
+		],
+	};
+}
+
+function sickTarget(fault: 'stall' | 'blank', service: string, part: number): TraceDraft {
+	return profile => {
+		const duration = 25 * second;
+		const target = `${service}-1`;
+		const kind = `target-${fault}` as const;
+		return {
+			duration,
+			events: [
+				...createStreams(profile, {
+					load: 0.9,
+					duration,
+					shares: sharesWith(profile, service, part),
+				}),
+				{kind, at: 8 * second, target, rate: 0.5},
+			],
+			outcomes: [
+				...invariants,
+				coldSlots,
+				{name: `ejected ${target} within 3 s`, kind: 'ejected', target, atMost: detectionTime},
+				noFalseEjections,
+				refusedCounted,
+				servedCounted,
+			],
+		};
+	};
+}
+
+function resentOrders(profile: Profile, instances: number): Content {
+	const duration = 25 * second;
+	const workspace = Object.keys(profile.organisation.document.workspaces)[0]!;
+	return {
+		duration,
+		warmUp: idempotencyWarmUp,
+		events: [
+			...createStreams(profile, {load: 0.4, duration, hasIdempotencyKeys: true}),
+			...createResentOrders(profile, instances, 2 * second),
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noEjections,
+			refusedRarely,
+			{
+				name: 'order-0 runs once',
+				kind: 'runs-of-key',
+				workspace,
+				idempotencyKey: 'order-0',
+				equals: 1,
+			},
+		],
+	};
+}
+
+function tenantAboveRate(profile: Profile): Content {
+	const duration = 30 * second;
+	const [workspace, {rate}] = Object.entries(profile.organisation.document.workspaces)[0]!;
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.7, duration, without: [workspace]}),
+			...createFlood(profile, workspace, {rate: 5 * rate, duration}),
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noFalseEjections,
+			{
+				name: 'worst workspace >= 0.95',
+				kind: 'worst-workspace',
+				absent: workspace,
+				atLeast: leastOfSteady,
+			},
+			refusedCounted,
+		],
+	};
+}
+
+function createFlood(
+	profile: Profile,
+	workspace: string,
+	{rate, duration}: {readonly rate: number; readonly duration: number},
+): TraceEventInput[] {
+	const shares = Object.entries(capacityShares(profile));
+	return shares.map(([service, share], index) => ({
+		kind: 'stream',
+		at: 0,
+		workspace,
+		service,
+		method: service === profile.orders ? 'POST' : 'GET',
+		idempotent: service !== profile.orders,
+		rate: Math.round(rate * share * 1000) / 1000,
+		duration,
+		seed: 100 + index,
+	}));
+}
+
+function coldStart(profile: Profile): Content {
+	const duration = 40 * second;
+	const service = profile.renderings;
+	const {targets} = profile.organisation.document.services[service]!;
+	const restarted = targets.filter((_, index) => index % 3 === 0);
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 1, duration, shares: sharesWith(profile, service, 0.45)}),
+			...restarted.map(({id}, index) => ({
+				kind: 'target-crash' as const,
+				at: 8 * second + index * 200,
+				target: id,
+				downFor: 2 * second,
+			})),
+		],
+		outcomes: [...invariants, coldSlots, noFalseEjections, refusedCounted, servedCounted],
+	};
+}
+
+/** Taken out at 10 s, returned at 25 s. */
+function createDomainEvents(): TraceEventInput[] {
+	return [
+		{kind: 'domain-out', at: 10 * second, failureDomain: 'domain-1'},
+		{kind: 'domain-in', at: 25 * second, failureDomain: 'domain-1'},
+	];
+}
+
+const domainOutcomes: readonly Outcome[] = [
+	{
+		name: 'no dispatch to failure domain domain-1 after 3 s',
+		kind: 'domain-dispatch',
+		failureDomain: 'domain-1',
+		atMost: withinSeconds,
+	},
+	{
+		name: 'version 2 in force everywhere within 3 s',
+		kind: 'version-spread',
+		version: 2,
+		atMost: withinSeconds,
+	},
+	{
+		name: 'version 3 in force everywhere within 3 s',
+		kind: 'version-spread',
+		version: 3,
+		atMost: withinSeconds,
+	},
+];
+
+function domainPulled(profile: Profile): Content {
+	const duration = 40 * second;
+	return {
+		duration,
+		events: [...createStreams(profile, {load: 0.7, duration}), ...createDomainEvents()],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noEjections,
+			...domainOutcomes,
+			{
+				name: 'served >= 0.95 of steady state while it leaves and returns',
+				kind: 'served-of-steady',
+				steadyFrom: 0,
+				steadyUntil: 10 * second,
+				from: 10 * second,
+				until: 40 * second,
+				atLeast: leastOfSteady,
+			},
+			refusedCounted,
+		],
+	};
+}
+
+function serviceAway(profile: Profile): Content {
+	const duration = 180 * second;
+	const [workspace, {rate, burst}] = Object.entries(profile.organisation.document.workspaces)[0]!;
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.3, duration}),
+			{kind: 'patch-rate', at: 5 * second, workspace, rate, burst: burst + 1},
+			{kind: 'service-away', at: 10 * second},
+			{kind: 'instance-crash', at: 30 * second, instance: 1, replaceAfter: second},
+			{kind: 'service-stale', at: 100 * second, version: 1},
+			{kind: 'instance-crash', at: 120 * second, instance: 2, replaceAfter: second},
+			{kind: 'service-back', at: 160 * second},
+			{kind: 'patch-rate', at: 165 * second, workspace, rate, burst},
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noEjections,
+			{
+				name: 'version 2 in force everywhere within 3 s',
+				kind: 'version-spread',
+				version: 2,
+				atMost: withinSeconds,
+			},
+			{
+				name: 'version 3 in force everywhere within 3 s',
+				kind: 'version-spread',
+				version: 3,
+				atMost: withinSeconds,
+			},
+			{
+				name: 'configuration reads <= 20/s',
+				kind: 'configuration-reads-per-second',
+				atMost: 20,
+			},
+			refusedCounted,
+			servedCounted,
+		],
+	};
+}
+
+function createKeyEvents(profile: Profile, duration: number, withdrawnAt: number) {
+	const [workspace] = Object.keys(profile.organisation.document.workspaces);
+	const events: TraceEventInput[] = [
+		{
+			kind: 'stream',
+			at: 0,
+			workspace: workspace!,
+			service: profile.downloads,
+			method: 'GET',
+			idempotent: true,
+			rate: 4,
+			duration,
+			seed: 200,
+			serviceTime: 2500,
+			timeout: 3800,
+			key: 'key-lost',
+		},
+		{kind: 'key-withdrawn', at: withdrawnAt, key: 'key-lost'},
+	];
+	return events;
+}
+
+const keyOutcomes: readonly Outcome[] = [
+	{
+		name: 'key withdrawn: no admission after 3 s',
+		kind: 'key-admission',
+		key: 'key-lost',
+		atMost: withinSeconds,
+	},
+	{
+		name: 'key withdrawn: no answer on an open connection after 3 s',
+		kind: 'key-answer',
+		key: 'key-lost',
+		atMost: withinSeconds,
+	},
+];
+
+function keyWithdrawn(profile: Profile): Content {
+	const duration = 25 * second;
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.3, duration}),
+			...createKeyEvents(profile, duration, 10 * second),
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noEjections,
+			...keyOutcomes,
+			{
+				name: 'version 2 in force everywhere within 3 s',
+				kind: 'version-spread',
+				version: 2,
+				atMost: withinSeconds,
+			},
+		],
+	};
+}
+
+/** Each is sent again, from another instance, after the one before it was answered. */
+function createCrashingRequests(profile: Profile, instances: number): TraceEventInput[] {
+	const workspace = Object.keys(profile.organisation.document.workspaces)[0]!;
+	const entry = pickInstances(12, instances, 11);
+	return entry.flatMap((instance, index) => [
+		{
+			kind: 'request' as const,
+			at: 5 * second + index * 2500,
+			workspace,
+			service: profile.renderings,
+			method: 'GET' as const,
+			idempotent: true,
+			fingerprint: 'crashing-get',
+			crashesTargets: true,
+			instance,
+		},
+		{
+			kind: 'request' as const,
+			at: 6 * second + index * 2500,
+			workspace,
+			service: profile.orders,
+			method: 'POST' as const,
+			idempotent: false,
+			fingerprint: 'crashing-post',
+			crashesTargets: true,
+			instance,
+		},
+	]);
+}
+
+const crashOutcomes: readonly Outcome[] = [
+	{
+		name: 'targets reached by crashing-get <= 2',
+		kind: 'targets-reached',
+		fingerprint: 'crashing-get',
+		atMost: 2,
+	},
+	{
+		name: 'targets reached by crashing-post <= 2',
+		kind: 'targets-reached',
+		fingerprint: 'crashing-post',
+		atMost: 2,
+	},
+];
+
+function crashingRequest(profile: Profile, instances: number): Content {
+	const duration = 40 * second;
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.4, duration}),
+			...createCrashingRequests(profile, instances),
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noFalseEjections,
+			...crashOutcomes,
+			refusedCounted,
+			servedCounted,
+		],
+	};
+}
+
+function silentConnections(profile: Profile, instances: number): Content {
+	const duration = 30 * second;
+	const picked = pickInstances(16, instances, 3);
+	const events: TraceEventInput[] = picked.map((from, index) => ({
+		kind: 'link-silence',
+		at: (5 + index / 2) * second,
+		from,
+		to: (from + 1 + index) % instances,
+	}));
+	const target = `${profile.renderings}-2`;
+	for (const direction of ['requests', 'answers'] as const) {
+		events.push(
+			{kind: 'target-link-cut', at: 8 * second, instance: picked[0]!, target, direction},
+			{kind: 'target-link-heal', at: 20 * second, instance: picked[0]!, target, direction},
+		);
+	}
+
+	return {
+		duration,
+		events: [...createStreams(profile, {load: 0.5, duration}), ...events],
+		outcomes: [...invariants, coldSlots, noEjections, refusedCounted, servedCounted],
+	};
+}
+
+/** Cut at 10 s, healed at 25 s. */
+function createPartition(instances: number): TraceEventInput[] {
+	const all = Array.from({length: instances}, (_, index) => index);
+	const size = Math.round(instances * 0.625);
+	return [
+		{kind: 'partition', at: 10 * second, parts: [all.slice(0, size), all.slice(size)]},
+		{kind: 'heal', at: 25 * second},
+	];
+}
+
+function fleetCut(profile: Profile, instances: number): Content {
+	const duration = 40 * second;
+	return {
+		duration,
+		events: [...createStreams(profile, {load: 0.5, duration}), ...createPartition(instances)],
+		outcomes: [...invariants, coldSlots, noEjections, refusedCounted, servedCounted],
+	};
+}
+
+function createPauses(instances: number, at: number): TraceEventInput[] {
+	const durations = [1500, 2100, 3000, 5000, 8000, 2500];
+	return pickInstances(durations.length, instances, 5).map((instance, index) => ({
+		kind: 'instance-pause',
+		at: at + index * 700,
+		instance,
+		duration: durations[index]!,
+	}));
+}
+
+function pauseAndWake(profile: Profile, instances: number): Content {
+	const duration = 30 * second;
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.5, duration}),
+			...createPauses(instances, 8 * second),
+		],
+		outcomes: [...invariants, coldSlots, noEjections, refusedCounted, servedCounted],
+	};
+}
+
+function plannedStops(profile: Profile, instances: number): Content {
+	const duration = 40 * second;
+	const stopped = pickInstances(4, instances, 13);
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.5, duration}),
+			...stopped.map((instance, index) => ({
+				kind: 'instance-stop' as const,
+				at: (6 + 6 * index) * second,
+				instance,
+				grace: 5 * second,
+				replaceAfter: second,
+			})),
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noEjections,
+			{name: 'no request is interrupted by a stop', kind: 'interrupted-by-stop', equals: 0},
+			refusedRarely,
+		],
+	};
+}
+
+function targetLeavesOtherFlaps(profile: Profile): Content {
+	const duration = 40 * second;
+	const leaving = `${profile.lookups}-4`;
+	const flapping = `${profile.lookups}-5`;
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {
+				load: 0.9,
+				duration,
+				shares: sharesWith(profile, profile.lookups, 0.5),
+			}),
+			{kind: 'target-leave', at: 8 * second, target: leaving},
+			{kind: 'target-flap', at: 10 * second, target: flapping, period: 4 * second},
+			{kind: 'target-fail', at: 10 * second, target: flapping, rate: 0.6},
+			{kind: 'target-return', at: 28 * second, target: leaving},
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noFalseEjections,
+			{
+				name: `no dispatch to leaving ${leaving} after 3 s`,
+				kind: 'leaving-dispatch',
+				target: leaving,
+				atMost: withinSeconds,
+			},
+			refusedCounted,
+			servedCounted,
+		],
+	};
+}
+
+function cutAndFlood(profile: Profile, instances: number): Content {
+	const duration = 40 * second;
+	const [workspace, {rate}] = Object.entries(profile.organisation.document.workspaces)[0]!;
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.4, duration, without: [workspace]}),
+			...createFlood(profile, workspace, {rate: 3 * rate, duration}),
+			...createPartition(instances),
+		],
+		outcomes: [...invariants, coldSlots, noFalseEjections, refusedCounted],
+	};
+}
+
+function domainAndColdTargets(profile: Profile): Content {
+	const duration = 40 * second;
+	const {targets} = profile.organisation.document.services[profile.renderings]!;
+	const others = targets.filter(({failureDomain}) => failureDomain === 'domain-0');
+	return {
+		duration,
+		events: [
+			...createStreams(profile, {load: 0.6, duration}),
+			...createDomainEvents(),
+			...others.slice(0, 2).map(({id}) => ({
+				kind: 'target-crash' as const,
+				at: 11 * second,
+				target: id,
+				downFor: 2 * second,
+			})),
+		],
+		outcomes: [
+			...invariants,
+			coldSlots,
+			noFalseEjections,
+			...domainOutcomes,
+			refusedCounted,
+			servedCounted,
+		],
+	};
+}
+
+/** Instances that may own the buckets of the orders pause and crash while the orders are resent. */
+function resentOrdersAndPauses(profile: Profile, instances: number): Content {
+	const {events, outcomes, ...content} = resentOrders(profile, instances);
+	const crashed = pickInstances(3, instances, 17);
+	return {
+		...content,
+		events: [
+			...events,
+			...createPauses(instances, 4 * second),
+			...crashed.map((instance, index) => ({
+				kind: 'instance-crash' as const,
+				at: (3 + 3 * index) * second,
+				instance,
+				replaceAfter: 2 * second,
+			})),
+		],
+		outcomes: [
+			...outcomes.filter(({kind}) => !['refused-within-rate-part', 'runs-of-key'].includes(kind)),
+			refusedCounted,
+			servedCounted,
+		],
+	};
+}
+
+function keyAndPause(profile: Profile, instances: number): Content {
+	const {events, outcomes, duration} = keyWithdrawn(profile);
+	const [paused, other] = pickInstances(2, instances, 19);
+	return {
+		duration,
+		events: [
+			...events,
+			{kind: 'instance-pause', at: 9 * second, instance: paused!, duration: 2500},
+			{kind: 'instance-pause', at: 9.5 * second, instance: other!, duration: 3000},
+		],
+		outcomes: [...outcomes, refusedCounted],
+	};
+}
+
+function crashingRequestAndCrash(profile: Profile, instances: number): Content {
+	const {events, outcomes, duration} = crashingRequest(profile, instances);
+	return {
+		duration,
+		events: [
+			...events,
+			...pickInstances(4, instances, 23).map((instance, index) => ({
+				kind: 'instance-crash' as const,
+				at: (8 + 5 * index) * second,
+				instance,
+				replaceAfter: 2 * second,
+			})),
+		],
+		outcomes,
+	};
+}
+
+function draftsOf(profile: Profile): Readonly<Record<string, TraceDraft>> {
+	return {
+		'ordinary-ten-minutes': ordinary,
+		[profile.lookupTrace]: sickTarget('stall', profile.lookups, 0.5),
+		[profile.orderTrace]: resentOrders,
+		[profile.downloadTrace]: sickTarget('blank', profile.downloads, 0.21),
+		[profile.renderingTrace]: sickTarget('blank', profile.renderings, 0.7),
+		'tenant-above-rate': tenantAboveRate,
+		'cold-start': coldStart,
+		'failure-domain-pulled': domainPulled,
+		'configuration-service-away': serviceAway,
+		'key-withdrawn': keyWithdrawn,
+		'crashing-request': crashingRequest,
+		'silent-connections': silentConnections,
+		'fleet-cut-in-two': fleetCut,
+		'pause-and-wake': pauseAndWake,
+		'planned-stops': plannedStops,
+		'target-leaves-other-flaps': targetLeavesOtherFlaps,
+		'cut-in-two-and-tenant-above-rate': cutAndFlood,
+		'failure-domain-pulled-and-cold-targets': domainAndColdTargets,
+		[`${profile.orderTrace}-and-pauses`]: resentOrdersAndPauses,
+		'key-withdrawn-and-pauses': keyAndPause,
+		'crashing-request-and-instance-crashes': crashingRequestAndCrash,
+	};
+}
+
+/** All traces by organisation. */
+export function createCatalogue(
+	options: CatalogueOptions = {},
+): ReadonlyMap<OrganisationName, readonly CatalogueTrace[]> {
+	const {instances = fleetSize} = options;
+	return new Map(
+		profiles.map(profile => [
+			profile.name,
+			Object.entries(draftsOf(profile)).map(([name, draft], index) => {
+				const {events, outcomes, duration, warmUp} = draft(profile, instances);
+				const header: TraceHeaderInput = {
+					kind: 'header',
+					format: 1,
+					organisation: profile.name,
+					instances,
+					seed: index + 1,
+					duration,
+					...(warmUp !== undefined && {warmUp}),
+					configuration: {maxInstances: instances},
+				};
+				return {name, header, events: inOrder(events), outcomes};
+			}),
+		]),
+	);
+}
+
+/** The content of the trace file and of its file of outcomes. */
+export function formatTrace({header, events, outcomes}: CatalogueTrace) {
+	const lines = [header, ...events].map(line => JSON.stringify(line));
+	return {
+		trace: `${lines.join('\n')}\n`,
+		outcomes: `${JSON.stringify({format: 1, outcomes}, undefined, '\t')}\n`,
+	};
+}
--- /dev/null
+++ b/packages/replay/src/trace-run.ts
@@ -0,0 +1,328 @@
+/**
+ * Runs a trace through the harness. The same trace gives the same run.
+ */
+import {createSeededRandom} from '@shallotpond/kernel/random';
+import {type TargetBehaviour} from './fake-target.js';
+import {type FleetDocument} from './fleet-document.js';
+import {createFleet, type Fleet, type FleetCounts, type Organisation} from './fleet-harness.js';
+import {type InstancePolicies} from './fleet-instance.js';
+import {fjordvik, inkworks} from './organisations.js';
+import {createRunRecorder, type RunRecord} from './run-record.js';
+import {
+	type Trace,
+	type TraceEvent,
+	type TraceHeader,
+	type TraceNames,
+	type TraceRequest,
+	type TraceStream,
+} from './trace-format.js';
+
+export type TraceRun = {
+	readonly trace: Trace;
+	readonly organisation: Organisation;
+	readonly record: RunRecord;
+	/** Since the end of the warm-up. */
+	readonly counts: FleetCounts;
+	/** Milliseconds of true time at the end of the warm-up, the zero of the trace. */
+	readonly startsAt: number;
+	/** Runs the trace again without the requests of a workspace. */
+	runWithout(workspace: string): TraceRun;
+};
+
+export type TraceRunOptions = {
+	/** Replaces policies, for tests of what counts violations. */
+	readonly policies?: Partial<InstancePolicies>;
+	/** Shows messages and events while a violation is traced. */
+	readonly onEvent?: (
+		event: Parameters<ReturnType<typeof createRunRecorder>['onEvent']>[0],
+	) => void;
+};
+
+/** Milliseconds after the end of the trace in which requests may still end. */
+const drainTime = 5000;
+/** Milliseconds for which a connection between instances is silent before a new one replaces it. */
+const silenceTimeout = 1500;
+/** Bytes per millisecond of an answer, about a gigabit per second. */
+const bytesPerMillisecond = 100_000;
+const longestAdvance = 10_000;
+
+export function organisationOf(header: TraceHeader): Organisation {
+	const organisation = {fjordvik, inkworks}[header.organisation];
+	const {document} = organisation;
+	const {services: changes = {}, ...configuration} = header.configuration;
+	const services = Object.fromEntries(
+		Object.entries(document.services).map(([name, service]) => [
+			name,
+			{...service, ...changes[name]},
+		]),
+	);
+	return {...organisation, document: {...document, ...configuration, services}};
+}
+
+export function namesOf(header: TraceHeader): TraceNames {
+	const {document, failureDomains} = organisationOf(header);
+	const services = Object.values(document.services);
+	return {
+		instances: header.instances,
+		targets: new Set(services.flatMap(({targets}) => targets.map(({id}) => id))),
+		services: new Set(Object.keys(document.services)),
+		workspaces: new Set(Object.keys(document.workspaces)),
+		failureDomains: new Set(failureDomains),
+	};
+}
+
+type Context = {
+	readonly fleet: Fleet;
+	/** By version. */
+	readonly documents: Map<number, FleetDocument>;
+	readonly startsAt: number;
+	readonly send: (request: Omit<TraceRequest, 'kind'>) => void;
+};
+
+type EventHandlers = {
+	readonly [Kind in TraceEvent['kind']]: (
+		event: TraceEvent & {readonly kind: Kind},
+		context: Context,
+	) => void;
+};
+
+function changeTarget(fleet: Fleet, target: string, change: Partial<TargetBehaviour>): void {
+	fleet.targets.get(target)!.change(change);
+}
+
+/** Each request is put on the agenda only when the one before it is sent. */
+function sendNext(stream: TraceStream, context: Context): void {
+	const {rate, duration, spacing, instances, hasIdempotencyKeys, seed, ...call} = stream;
+	const random = createSeededRandom(seed);
+	const interval = 1000 / rate;
+	let next = stream.at;
+	let number = 0;
+
+	function draw(): number {
+		return spacing === 'even' ? interval : -Math.log(1 - random()) * interval;
+	}
+
+	function sendAndSchedule(): void {
+		const instance = instances?.[Math.floor(random() * instances.length)];
+		context.send({
+			...call,
+			at: next,
+			...(instance !== undefined && {instance}),
+			...(hasIdempotencyKeys === true && {idempotencyKey: `stream-${seed}-${number}`}),
+		});
+		number++;
+		schedule();
+	}
+
+	function schedule(): void {
+		next += draw();
+		if (next < stream.at + duration) {
+			context.fleet.at(context.startsAt + next, sendAndSchedule);
+		}
+	}
+
+	schedule();
+}
+
+/** The documents of all versions are kept, because the service may serve an old one later. */
+function changeConfiguration({fleet, documents}: Context, change: Partial<FleetDocument>): void {
+	fleet.changeConfiguration(change);
+	documents.set(fleet.document.version, fleet.document);
+}
+
+function setDomain(context: Context, failureDomain: string, isOut: boolean): void {
+	const others = context.fleet.document.domainsOut.filter(domain => domain !== failureDomain);
+	changeConfiguration(context, {domainsOut: isOut ? [...others, failureDomain] : others});
+}
+
+const handlers: EventHandlers = {
+	request(event, {send}) {
+		send(event);
+	},
+	stream: sendNext,
+	'target-slow'({target, factor}, {fleet}) {
+		changeTarget(fleet, target, {slowFactor: factor});
+	},
+	'target-fail'({target, rate}, {fleet}) {
+		changeTarget(fleet, target, {failRate: rate});
+	},
+	'target-blank'({target, rate}, {fleet}) {
+		changeTarget(fleet, target, {blankRate: rate});
+	},
+	'target-stall'({target, rate}, {fleet}) {
+		changeTarget(fleet, target, {stallRate: rate});
+	},
+	'target-flap'({target, period}, {fleet}) {
+		changeTarget(fleet, target, {flapPeriod: period});
+	},
+	'target-cold'({target}, {fleet}) {
+		fleet.targets.get(target)!.turnCold();
+	},
+	'target-crash'({target, downFor}, {fleet}) {
+		fleet.targets.get(target)!.crash(downFor);
+	},
+	'target-leave'({target}, {fleet}) {
+		fleet.drainTarget(target, true);
+	},
+	'target-return'({target}, {fleet}) {
+		fleet.drainTarget(target, false);
+	},
+	'link-cut'({from, to}, {fleet}) {
+		fleet.cut(from, to);
+	},
+	'link-heal'({from, to}, {fleet}) {
+		fleet.heal(from, to);
+	},
+	'link-silence'({from, to}, {fleet}) {
+		fleet.cut(from, to);
+		fleet.cut(to, from);
+		fleet.at(fleet.now() + silenceTimeout, () => {
+			fleet.heal(from, to);
+			fleet.heal(to, from);
+		});
+	},
+	'target-link-cut'({instance, target, direction}, {fleet}) {
+		fleet.cutTarget(instance, target, direction);
+	},
+	'target-link-heal'({instance, target, direction}, {fleet}) {
+		fleet.healTarget(instance, target, direction);
+	},
+	'link-delay'({part, delay}, {fleet}) {
+		fleet.network.setConditions({longDelayProbability: part, longDelay: delay});
+	},
+	partition({parts}, {fleet}) {
+		fleet.partition(parts);
+	},
+	heal(_event, {fleet}) {
+		fleet.healAll();
+	},
+	'instance-pause'({instance, duration}, {fleet}) {
+		fleet.pause(instance, duration);
+	},
+	'instance-crash'({instance, replaceAfter}, {fleet}) {
+		fleet.crash(instance, replaceAfter);
+	},
+	'instance-stop'({instance, grace, replaceAfter}, {fleet}) {
+		fleet.stop(instance, grace, replaceAfter);
+	},
+	'service-away'(_event, {fleet}) {
+		fleet.setConfigurationService(false);
+	},
+	'service-back'(_event, {fleet}) {
+		fleet.setConfigurationService(true);
+		fleet.serveDocument(undefined);
+	},
+	'service-stale'({version}, {fleet, documents}) {
+		fleet.setConfigurationService(true);
+		fleet.serveDocument(documents.get(version));
+	},
+	'key-withdrawn'({key}, context) {
+		const {withdrawnKeys = []} = context.fleet.document;
+		changeConfiguration(context, {withdrawnKeys: [...withdrawnKeys, key]});
+	},
+	'patch-rate'({workspace, rate, burst}, context) {
+		const {workspaces} = context.fleet.document;
+		changeConfiguration(context, {workspaces: {...workspaces, [workspace]: {rate, burst}}});
+	},
+	'domain-out'({failureDomain}, context) {
+		setDomain(context, failureDomain, true);
+	},
+	'domain-in'({failureDomain}, context) {
+		setDomain(context, failureDomain, false);
+	},
+};
+
+function without(trace: Trace, workspace: string): Trace {
+	const events = trace.events.filter(
+		event => !('workspace' in event) || event.workspace !== workspace,
+	);
+	return {...trace, events};
+}
+
+/** Milliseconds for which a request of this shape keeps a target busy, if the trace says so. */
+function serviceTimeOf(
+	{serviceTime, size = 0, service}: Omit<TraceRequest, 'kind'>,
+	organisation: Organisation,
+): number | undefined {
+	if (serviceTime === undefined && size === 0) {
+		return undefined;
+	}
+
+	const base = serviceTime ?? organisation.behaviour[service]!.serviceTime;
+	return base + size / bytesPerMillisecond;
+}
+
+/** Replays a parsed trace. Takes processor time in proportion to its duration and instances². */
+export function runTrace(trace: Trace, options: TraceRunOptions = {}): TraceRun {
+	const {header} = trace;
+	const organisation = organisationOf(header);
+	const recorder = createRunRecorder();
+	const fleet = createFleet({
+		organisation,
+		instances: header.instances,
+		seed: header.seed,
+		policy: 'fleet',
+		...(options.policies !== undefined && {policies: options.policies}),
+		onEvent(event) {
+			recorder.onEvent(event);
+			options.onEvent?.(event);
+		},
+	});
+	const startsAt = header.warmUp;
+	recorder.attach(fleet, startsAt);
+	fleet.advance(startsAt);
+	fleet.resetCounts();
+	let sent = 0;
+
+	function send(request: Omit<TraceRequest, 'kind'>): void {
+		const {workspace, service, instance, timeout, idempotencyKey} = request;
+		const id = `d${sent++}`;
+		const {key = `key-${workspace}`, fingerprint = id} = request;
+		recorder.addDelivery(id, {
+			group: idempotencyKey === undefined ? id : `${workspace}/${idempotencyKey}`,
+			workspace,
+			key,
+			fingerprint,
+			isIdempotent: request.idempotent,
+			arrivedAt: fleet.now() - startsAt,
+		});
+		const serviceTime = serviceTimeOf(request, organisation);
+		fleet.request({
+			id,
+			service,
+			workspace,
+			...(instance !== undefined && {instance}),
+			...(timeout !== undefined && {timeout}),
+			isPoisoned: request.crashesTargets ?? false,
+			call: {
+				method: request.method,
+				isIdempotent: request.idempotent,
+				...(idempotencyKey !== undefined && {idempotencyKey}),
+				fingerprint,
+				key,
+				...(serviceTime !== undefined && {serviceTime}),
+			},
+		});
+	}
+
+	const documents = new Map([[fleet.document.version, fleet.document]]);
+	const context: Context = {fleet, documents, startsAt, send};
+	for (const event of trace.events) {
+		fleet.at(startsAt + event.at, () => {
+			(handlers[event.kind] as (event: TraceEvent, context: Context) => void)(event, context);
+		});
+	}
+
+	for (let left = header.duration + drainTime; left > 0; left -= longestAdvance) {
+		fleet.advance(Math.min(left, longestAdvance));
+	}
+
+	return {
+		trace,
+		organisation,
+		record: recorder.record,
+		counts: fleet.counts(),
+		startsAt,
+		runWithout: workspace => runTrace(without(trace, workspace), options),
+	};
+}
