--- a/packages/replay/src/trace-catalogue.ts
+++ b/packages/replay/src/trace-catalogue.ts
@@ -6,7 +6,7 @@
 import {type Organisation} from './fleet-harness.js';
 import {fjordvik, inkworks} from './organisations.js';
 import {type Outcome} from './outcomes.js';
-import {type TraceEventInput, type TraceHeaderInput} from './trace-format.js';
+import {fastestStream, type TraceEventInput, type TraceHeaderInput} from './trace-format.js';
 
 export type CatalogueTrace = {
 	readonly name: string;
@@ -343,18 +343,25 @@
 	workspace: string,
 	{rate, duration}: {readonly rate: number; readonly duration: number},
 ): TraceEventInput[] {
-	const shares = Object.entries(capacityShares(profile));
-	return shares.map(([service, share], index) => ({
-		kind: 'stream',
-		at: 0,
-		workspace,
-		service,
-		method: service === profile.orders ? 'POST' : 'GET',
-		idempotent: service !== profile.orders,
-		rate: Math.round(rate * share * 1000) / 1000,
-		duration,
-		seed: 100 + index,
-	}));
+	const events: TraceEventInput[] = [];
+	for (const [service, share] of Object.entries(capacityShares(profile))) {
+		const parts = Math.ceil((rate * share) / fastestStream);
+		for (let part = 0; part < parts; part++) {
+			events.push({
+				kind: 'stream',
+				at: 0,
+				workspace,
+				service,
+				method: service === profile.orders ? 'POST' : 'GET',
+				idempotent: service !== profile.orders,
+				rate: Math.round(((rate * share) / parts) * 1000) / 1000,
+				duration,
+				seed: 100 + events.length,
+			});
+		}
+	}
+
+	return events;
 }
 
 function coldStart(profile: Profile): Content {
--- a/packages/replay/src/trace-format.ts
+++ b/packages/replay/src/trace-format.ts
@@ -20,6 +20,9 @@
 /** Milliseconds; the harness has no other end for a request whose instance lost its coordinator. */
 const longestTimeout = 3800;
 
+/** Requests per second. A stream sends one request per step of 2 ms, and Poisson gaps need some room. */
+export const fastestStream = 300;
+
 const at = {at: milliseconds};
 
 const configuration = z.strictObject({
@@ -95,8 +98,8 @@
 	kind: z.literal('stream'),
 	...at,
 	...call,
-	/** Requests per second. */
-	rate: z.number().positive().max(100_000),
+	/** Requests per second; a larger rate is written as several streams. */
+	rate: z.number().positive().max(fastestStream),
 	/** Milliseconds. */
 	duration: milliseconds,
 	seed,
