Pass over exactly the failures that KNOWN-RED.txt lists, and print them

Change: npm test runs Jest through scripts/run-tests.js, which compares the failed tests with the list; an unknown failure, a suite that cannot be loaded, or no passed test fails the run.

--- /dev/null
+++ b/scripts/run-tests.js
@@ -0,0 +1,76 @@
+/**
+ * Runs every test, and passes over exactly the failures that KNOWN-RED.txt lists. An entry there is
+ * a block of lines; its line `test: <full name>` names a test as Jest reports it. Known failures are
+ * printed, and so are known ones that pass, which then have to be taken off the list.
+ */
+import {spawnSync} from 'node:child_process';
+import {mkdtempSync, readFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+
+const resultFile = path.join(
+	mkdtempSync(path.join(tmpdir(), 'shallotpond-tests-')),
+	'results.json',
+);
+
+function readKnownFailures() {
+	try {
+		const text = readFileSync('KNOWN-RED.txt', 'utf8');
+		return new Set([...text.matchAll(/^test: (.+)$/gm)].map(([, name]) => name.trim()));
+	} catch (error) {
+		if (error.code === 'ENOENT') {
+			return new Set();
+		}
+
+		throw error;
+	}
+}
+
+const jest = spawnSync(
+	process.execPath,
+	[
+		'--experimental-vm-modules',
+		'--no-warnings',
+		path.join('node_modules', 'jest', 'bin', 'jest.js'),
+		'--json',
+		`--outputFile=${resultFile}`,
+		...process.argv.slice(2),
+	],
+	{stdio: ['ignore', 'ignore', 'inherit']},
+);
+const results = JSON.parse(readFileSync(resultFile, 'utf8'));
+const known = readKnownFailures();
+const tests = results.testResults.flatMap(suite => suite.assertionResults);
+const failed = tests.filter(test => test.status === 'failed').map(test => test.fullName);
+const unexpected = failed.filter(name => !known.has(name));
+const knownFailed = failed.filter(name => known.has(name));
+const knownPassed = tests.filter(test => test.status === 'passed' && known.has(test.fullName));
+// A suite that could not be loaded has failed without a test of its own.
+const brokenSuites = results.testResults.filter(
+	suite =>
+		suite.status === 'failed' && suite.assertionResults.every(test => test.status !== 'failed'),
+);
+
+for (const name of knownFailed) {
+	console.log(`known failure (KNOWN-RED.txt): ${name}`);
+}
+
+for (const test of knownPassed) {
+	console.log(`listed in KNOWN-RED.txt but passes now: ${test.fullName}`);
+}
+
+for (const name of unexpected) {
+	console.log(`failed: ${name}`);
+}
+
+for (const suite of brokenSuites) {
+	console.log(`could not be run: ${suite.name}\n${suite.message}`);
+}
+
+const passedCount = tests.filter(test => test.status === 'passed').length;
+console.log(`${passedCount} passed, ${unexpected.length + brokenSuites.length} failed`);
+const isCrashed =
+	jest.signal !== null || (jest.status !== 0 && failed.length + brokenSuites.length === 0);
+process.exitCode =
+	unexpected.length + brokenSuites.length > 0 || isCrashed || passedCount === 0 ? 1 : 0;
