Give the crash records to instances that join

Cause: a replacement starts with an empty crash table. Change: three members, chosen by rendezvous hashing, send their records to each instance that joins the view.

--- a/packages/policy-requests/src/__tests__/crash.test.ts
+++ b/packages/policy-requests/src/__tests__/crash.test.ts
@@ -5,6 +5,7 @@
 import {createCrashGuard, type CrashCheck, type CrashTurn} from '../crash-guard.js';
 import {type CrashMessage} from '../crash-messages.js';
 import {createCrashRegistry, crashRetention} from '../crash-registry.js';
+import {createCrashTableSync} from '../crash-table-sync.js';
 import {createCrashTable} from '../crash-table.js';
 import {createFingerprint} from '../fingerprint.js';
 
@@ -219,6 +220,29 @@
 		expect(table.lookUp('blocked', 1000)).toBeUndefined();
 	});
 
+	test('an instance that joins learns what is blocked, so that it lets no copy through', () => {
+		const tables = new Map(members.map(name => [name, createCrashTable(10)]));
+		const syncs = members.map(self => createCrashTableSync({self, table: tables.get(self)!}));
+		for (const sync of syncs) {
+			expect(sync.update(members, 0)).toEqual([]);
+		}
+
+		for (const table of tables.values()) {
+			table.store({fingerprint, targets: ['t', 'u'], until: 1000, revision: 3}, 0);
+		}
+
+		const joined = [...members, 'new'];
+		const sent = syncs.flatMap(sync => sync.update(joined, 10));
+		expect(sent.map(({to}) => to)).toEqual(['new', 'new', 'new']);
+		const table = createCrashTable(10);
+		for (const {message} of sent) {
+			table.adopt(message.record, 20);
+		}
+
+		expect(table.lookUp(fingerprint, 20)?.targets).toEqual(['t', 'u']);
+		expect(syncs.flatMap(sync => sync.update(joined, 30))).toEqual([]);
+	});
+
 	test('fields cannot be shifted into each other to give two requests one fingerprint', () => {
 		const shifted = {...source, workspace: 'wG', method: 'ET'};
 		expect(createFingerprint(shifted)).not.toBe(fingerprint);
--- a/packages/policy-requests/src/crash-registry.ts
+++ b/packages/policy-requests/src/crash-registry.ts
@@ -22,7 +22,13 @@
 	type CrashQuery,
 	type CrashReport,
 } from './crash-messages.js';
-import {isBlocked, mostCrashedTargets, type CrashEntry, type CrashTable} from './crash-table.js';
+import {
+	isBlocked,
+	mostCrashedTargets,
+	recordOf,
+	type CrashEntry,
+	type CrashTable,
+} from './crash-table.js';
 
 export type CrashOwnerMessage = CrashReport | CrashQuery | CrashNoticeSeen;
 
@@ -214,22 +220,8 @@
 	return {...known, trial, until: result === 'cleared' ? now : known.until, revision};
 }
 
-function createNotice(
-	id: number,
-	{fingerprint, targets, trial, until, revision}: CrashEntry,
-	now: number,
-): CrashNotice {
-	return {
-		kind: 'crash-notice',
-		id,
-		record: {
-			fingerprint,
-			targets,
-			trial: trial && {holder: trial.holder, id: trial.id, remaining: trial.until - now},
-			remaining: until - now,
-			revision,
-		},
-	};
+function createNotice(id: number, entry: CrashEntry, now: number): CrashNotice {
+	return {kind: 'crash-notice', id, record: recordOf(entry, now)};
 }
 
 function answerTo(
--- a/packages/policy-requests/src/crash-table.ts
+++ b/packages/policy-requests/src/crash-table.ts
@@ -22,6 +22,8 @@
 	/** Takes over what an owner announced, unless a newer revision is known. */
 	adopt(record: CrashRecord, now: number): void;
 	remove(fingerprint: string): void;
+	/** All records that are in force. Linear in their number. */
+	records(now: number): CrashRecord[];
 	readonly size: number;
 };
 
@@ -88,8 +90,27 @@
 				now,
 			);
 		},
+		records(now) {
+			return [...blocked.values(), ...suspects.values()]
+				.filter(({until}) => until > now)
+				.map(entry => recordOf(entry, now));
+		},
 		get size() {
 			return suspects.size + blocked.size;
 		},
 	};
 }
+
+/** The entry with durations in place of times, for another clock. */
+export function recordOf(
+	{fingerprint, targets, trial, until, revision}: CrashEntry,
+	now: number,
+): CrashRecord {
+	return {
+		fingerprint,
+		targets,
+		trial: trial && {holder: trial.holder, id: trial.id, remaining: trial.until - now},
+		remaining: until - now,
+		revision,
+	};
+}
--- a/packages/replay/src/fleet-calls.ts
+++ b/packages/replay/src/fleet-calls.ts
@@ -20,6 +20,7 @@
 	createCrashRegistry,
 	type CrashOwnerMessage,
 } from '@shallotpond/policy-requests/crash-registry';
+import {createCrashTableSync} from '@shallotpond/policy-requests/crash-table-sync';
 import {createCrashTable} from '@shallotpond/policy-requests/crash-table';
 import {bucketCount} from '@shallotpond/policy-requests/fingerprint';
 import {
@@ -142,6 +143,7 @@
 	const budget = createRetryBudget();
 	const retries = policies.createRetryPolicy({budget});
 	const table = createCrashTable(mostCrashRecords);
+	const crashTableSync = createCrashTableSync({self, table});
 	const crashRegistry = createCrashRegistry({
 		self,
 		table,
@@ -367,6 +369,7 @@
 		},
 		tick() {
 			const time = now();
+			send(crashTableSync.update(membership.view(time).members, time));
 			send(crashRegistry.tick(time));
 			runCrash(crashGuard.tick(time));
 			runClaims(idempotencyGuard.tick(time));
--- a/packages/shallotpond/src/requests-service.ts
+++ b/packages/shallotpond/src/requests-service.ts
@@ -23,6 +23,7 @@
 	createCrashRegistry,
 	type CrashOwnerMessage,
 } from '@shallotpond/policy-requests/crash-registry';
+import {createCrashTableSync} from '@shallotpond/policy-requests/crash-table-sync';
 import {createCrashTable} from '@shallotpond/policy-requests/crash-table';
 import {bucketCount} from '@shallotpond/policy-requests/fingerprint';
 import {
@@ -85,6 +86,7 @@
 		table,
 		members: () => membership.view(clock.monotonic()).members,
 	});
+	const crashTableSync = createCrashTableSync({self: router.self, table});
 	const crashGuard = createCrashGuard({owner: membership.ownerOf, table});
 	const idempotencyRegistry = createIdempotencyRegistry({
 		fraction: membership.fraction,
@@ -186,6 +188,7 @@
 		start() {
 			cancelTicks = clock.every(tickInterval, () => {
 				const now = clock.monotonic();
+				router.send(crashTableSync.update(membership.view(now).members, now));
 				router.send(crashRegistry.tick(now));
 				runCrash(crashGuard.tick(now));
 				runClaims(idempotencyGuard.tick(now));
