Treat a target as cold from a broken connection until a later request is answered

Change: after a connection broke or could not be made, the target gets its cold slots at most, until a request that was sent later is answered.

--- a/packages/policy-dispatch/src/coordinated-shard.ts
+++ b/packages/policy-dispatch/src/coordinated-shard.ts
@@ -46,7 +46,9 @@
 	health: TargetHealth,
 ): number {
 	const {allowed} = target.warmUp;
-	return health.stateOf(target.definition.id) === 'trial' ? Math.min(allowed, coldSlots) : allowed;
+	const mayBeCold =
+		target.restartSuspectedAt !== undefined || health.stateOf(target.definition.id) === 'trial';
+	return mayBeCold ? Math.min(allowed, coldSlots) : allowed;
 }
 
 /** Whether the target may get new requests at all. */
--- a/packages/policy-dispatch/src/coordinated-target.ts
+++ b/packages/policy-dispatch/src/coordinated-target.ts
@@ -38,6 +38,11 @@
 	readonly notBefore: number;
 	/** Generations seen, the latest last. */
 	generations: string[];
+	/**
+	 * Monotonic milliseconds since which the process may have restarted: a connection broke or could
+	 * not be made. Until a request that was sent later is answered, the target may be cold.
+	 */
+	restartSuspectedAt: number | undefined;
 	availability: TargetAvailability;
 	/** Adds or extends a grant; the term starts now. */
 	hold(grant: Omit<OpenGrant, 'expiresAt'>, now: number): void;
@@ -116,6 +121,7 @@
 		connections,
 		notBefore,
 		generations: [],
+		restartSuspectedAt: undefined,
 		availability: 'available',
 		hold,
 		expire(time) {
--- a/packages/policy-dispatch/src/slot-coordinator.ts
+++ b/packages/policy-dispatch/src/slot-coordinator.ts
@@ -5,6 +5,7 @@
  * that wakes late finds its fraction gone and grants nothing.
  */
 import {isDeepStrictEqual} from 'node:util';
+import {type AttemptOutcome, type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {dispatch, type Handlers} from '@shallotpond/kernel/handlers';
 import {type InstanceId} from '@shallotpond/kernel/instance-id';
 import {type Outbound} from '@shallotpond/kernel/outbound';
@@ -108,6 +109,12 @@
 	readonly shards: Map<number, CoordinatedShard>;
 };
 
+const connectionFailures: ReadonlySet<AttemptResult> = new Set([
+	'connection-failed',
+	'connection-broken',
+]);
+const answers: ReadonlySet<AttemptResult> = new Set(['ok', 'error', 'incomplete', 'shed']);
+
 type Context = {readonly from: InstanceId; readonly now: number};
 type Outbox = Array<Outbound<SlotMessage>>;
 
@@ -440,6 +447,19 @@
 		return true;
 	}
 
+	/** The first answer after a restart comes too late to keep further requests from a cold process. */
+	function noteConnection(target: CoordinatedTarget, outcome: AttemptOutcome, now: number): void {
+		const {restartSuspectedAt} = target;
+		if (connectionFailures.has(outcome.result)) {
+			target.restartSuspectedAt = now;
+		} else if (restartSuspectedAt !== undefined && answers.has(outcome.result)) {
+			const sentAt = now - outcome.slotTime;
+			if (sentAt > restartSuspectedAt) {
+				target.restartSuspectedAt = undefined;
+			}
+		}
+	}
+
 	function recordOutcome(
 		service: CoordinatedService,
 		shard: CoordinatedShard,
@@ -451,6 +471,7 @@
 			return;
 		}
 
+		noteConnection(target, outcome, now);
 		shard.meanSlotTime += (outcome.slotTime - shard.meanSlotTime) * slotTimeWeight;
 		service.health.record(target.definition.id, holder, outcome, now);
 		if (outcome.result === 'ok') {
