Eject a target for its work only while it has work

Cause: samples of the long window stay for 30 s. Change: a target is judged by its work only within 2 s of a sample.

--- a/packages/policy-dispatch/src/target-health.ts
+++ b/packages/policy-dispatch/src/target-health.ts
@@ -45,6 +45,8 @@
 	readonly isOverloaded: boolean;
 };
 
+/** Milliseconds for which a sample is a reason to judge its target. */
+const freshness = 2000;
 /** Milliseconds between two evaluations. */
 export const evaluationInterval = 250;
 
@@ -102,6 +104,8 @@
 	trialGood: number;
 	trialBad: number;
 	trialLogSum: number;
+	/** Monotonic milliseconds. */
+	lastSampleAt: number;
 };
 
 type Judged = {readonly record: TargetRecord; readonly summary: WindowSummary};
@@ -228,6 +232,7 @@
 				trialGood: 0,
 				trialBad: 0,
 				trialLogSum: 0,
+				lastSampleAt: Number.NEGATIVE_INFINITY,
 			};
 			records.set(target, record);
 		}
@@ -315,6 +320,12 @@
 	}
 
 	function judgeWork(judged: Judged, all: readonly Judged[], now: number): boolean {
+		// Samples of the long window stay for 30 s. A target that had no work since must not be ejected
+		// for them, when its peers change or the floor allows it again: it may have recovered.
+		if (now - judged.record.lastSampleAt > freshness) {
+			return false;
+		}
+
 		const reason =
 			judgeErrors(judged, all) ?? (isServiceSlow ? undefined : judgeLatency(judged, all));
 		if (reason !== undefined) {
@@ -357,6 +368,7 @@
 				return;
 			}
 
+			record.lastSampleAt = now;
 			if (verdict === 'good') {
 				record.short.addGood(holder, outcome.latency, now);
 				record.long.addGood(holder, outcome.latency, now);
