Apply rules that need types to TypeScript files only

Cause: on a clean clone in another folder, xo failed on the five JavaScript files: a rule with type information applied to all files, and JavaScript is in no TypeScript project. Change: that rule stands in a block for TypeScript files.

--- a/xo.config.js
+++ b/xo.config.js
@@ -14,6 +14,12 @@
 			// `clock.every(interval, callback)` looks like the method of arrays to these rules.
 			'unicorn/no-array-callback-reference': 'off',
 			'unicorn/no-array-method-this-argument': 'off',
+		},
+	},
+	{
+		// Rules that need types fail on the few JavaScript files, which are in no TypeScript project.
+		files: ['**/*.ts'],
+		rules: {
 			// Names of attributes, headers and message kinds that need quotes follow their own standards.
 			'@typescript-eslint/naming-convention': [
 				'error',
