--- a/packages/shallotpond/src/daemon.ts
+++ b/packages/shallotpond/src/daemon.ts
@@ -7,6 +7,7 @@
 import {createTlsContext, type TlsContext} from '@shallotpond/io-http/tls-context';
 import {type PeerTls} from '@shallotpond/io-peer/peer-network';
 import {createSystemClock} from '@shallotpond/kernel/clock';
+import {createMailbox} from '@shallotpond/kernel/mailbox';
 import {SettingsError} from '@shallotpond/kernel/settings';
 import {formatSocketAddress} from '@shallotpond/kernel/setting-kinds';
 import {createLogger} from '@shallotpond/observability/logger';
@@ -16,6 +17,8 @@
 import {type DaemonSettings} from './daemon-settings.js';
 import {createInstance} from './instance.js';
 
+type ControlMessage = {readonly kind: 'reload-certificates'};
+
 async function readText(path: string): Promise<string> {
 	try {
 		return await readFile(path, 'utf8');
@@ -119,20 +122,25 @@
 		}),
 	});
 
-	async function reloadCertificates(): Promise<void> {
-		try {
-			await tls?.reload();
-			logger.info('certificates were read again');
-		} catch (error) {
+	// One message at a time, because two signals in a row must not read certificate and key by turns.
+	const control = createMailbox<ControlMessage, undefined>({
+		context: undefined,
+		handlers: {
+			async 'reload-certificates'() {
+				await tls?.reload();
+				logger.info('certificates were read again');
+			},
+		},
+		onError(error) {
 			logger.error('certificates could not be read; the old ones stay in use', {
 				error: String(error),
 			});
-		}
-	}
+		},
+	});
 
 	await instance.start();
 	process.on('SIGHUP', () => {
-		void reloadCertificates();
+		control.send({kind: 'reload-certificates'});
 	});
 	await stopOnSignal(async () => instance.stop(), instance.stopped);
 }
