Pass answers without a length on without one, and answer requests whose key is withdrawn

Ruled out: a reset that the parser hides (mended before). Change: such an answer goes to the caller without a length, with Connection: close, so it proves no more than the target's own. keyCheckInterval 0 lets requests in progress go on; each new attempt still checks the key.

--- a/packages/io-http/src/answer-checks.ts
+++ b/packages/io-http/src/answer-checks.ts
@@ -51,6 +51,14 @@
 	return length === undefined ? undefined : Number(length);
 }
 
+/** Whether only the end of the connection tells the end of the body. */
+export function endsWithConnection(method: string, answer: IncomingMessage): boolean {
+	const {headers} = answer;
+	const isFree =
+		headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+	return isFree && hasBody(method, answer.statusCode!);
+}
+
 /** Whether the answer belongs to the request that `requestId` names, as far as it says so. */
 export function answersRequest(
 	answer: IncomingMessage,
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -17,6 +17,7 @@
 import {
 	answersRequest,
 	contentLengthOf,
+	endsWithConnection,
 	hasBody,
 	hasExpectedType,
 	isFramed,
@@ -280,7 +281,10 @@
 
 	function beginAnswer(request: ForwardedRequest, answer: IncomingMessage): void {
 		const headers = createCallerHeaders(answer.rawHeaders, dialect);
-		if (options.isLeaving()) {
+		const isUnframed = endsWithConnection(request.method, answer);
+		// Whether such a body was cut cannot be told from here, so the caller must not take it for whole.
+		request.response.useChunkedEncodingByDefault = !isUnframed;
+		if (options.isLeaving() || isUnframed) {
 			headers.push('connection', 'close');
 		}
 
@@ -352,10 +356,10 @@
 		const {route, method, response} = request;
 		const smallestBody = progress.hasBegun ? 0 : smallestBodyOf(route, method, answer.statusCode!);
 		const length = hasBody(method, answer.statusCode!) ? contentLengthOf(answer) : 0;
-		const isStreamed = length === undefined && answer.headers['transfer-encoding'] !== undefined;
+		const isUnframed = endsWithConnection(method, answer);
 		const holdBytes =
 			length === undefined
-				? Math.max(1, smallestBody, isStreamed ? 0 : limits.heldAnswerBytes)
+				? Math.max(1, smallestBody, isUnframed ? limits.heldAnswerBytes : 0)
 				: Math.max(1, Math.min(length, limits.heldAnswerBytes));
 		const {download, received} = progress;
 		const result = await pumpAnswer({
@@ -377,7 +381,7 @@
 			stallTimeout: route.stallTimeout,
 			callerStallTimeout: limits.callerStallTimeout,
 			signals: [request.cancellation.signal, grant.signal],
-			endsWithConnection: length === undefined && !isStreamed,
+			endsWithConnection: isUnframed,
 		});
 		progress.received += result.passedOn;
 		return result;
--- a/packages/io-http/src/http-limits.ts
+++ b/packages/io-http/src/http-limits.ts
@@ -38,7 +38,10 @@
 	readonly connectTimeout: number;
 	/** Milliseconds after which an idle target connection is closed; below that of the targets. */
 	readonly targetIdleTimeout: number;
-	/** Milliseconds between two checks of the keys of requests in progress. */
+	/**
+	 * Milliseconds between two checks of the keys of requests in progress; 0 lets a request whose key
+	 * was withdrawn after its start go on.
+	 */
 	readonly keyCheckInterval: number;
 	/** Longest graceful stop, milliseconds. */
 	readonly stopTimeout: number;
--- a/packages/io-http/src/key-watch.ts
+++ b/packages/io-http/src/key-watch.ts
@@ -21,15 +21,13 @@
 export function createKeyWatch(options: {
 	readonly clock: Clock;
 	readonly tables: () => LookupTables | undefined;
-	/** Milliseconds between two checks. */
+	/** Milliseconds between two checks; 0 for none. */
 	readonly interval: number;
 }): KeyWatch {
 	const watched = new Set<WatchedRequest>();
 	let checkedTables = options.tables();
 
-	const {clock} = options;
-	// eslint-disable-next-line unicorn/no-array-callback-reference, unicorn/no-array-method-this-argument -- a clock, not an array
-	const stop = clock.every(options.interval, () => {
+	function check(): void {
 		const tables = options.tables();
 		if (tables === checkedTables || tables === undefined) {
 			return;
@@ -42,7 +40,10 @@
 				request.onWithdrawn();
 			}
 		}
-	});
+	}
+
+	const {clock, interval} = options;
+	const stop = interval === 0 ? () => undefined : clock.every(interval, check);
 
 	return {
 		watch(request) {
--- a/packages/platform/src/platform-program.ts
+++ b/packages/platform/src/platform-program.ts
@@ -30,6 +30,8 @@
 const heldAnswerBytes = 1_048_576;
 /** Milliseconds after which callers' idle connections are closed until a configuration says so. */
 const callerIdleTimeout = 16_000;
+/** A request that began before its key was withdrawn is answered; later ones are refused. */
+const noKeyCheck = 0;
 const exitCodes = {ok: 0, failed: 1, usage: 2} as const;
 
 async function startAdmin(
@@ -131,6 +133,7 @@
 			targetIdleTimeout,
 			connectTimeout,
 			keepAliveTimeout: callerIdleTimeout,
+			keyCheckInterval: noKeyCheck,
 		},
 		revocationLimit: settings.revocationLimit,
 		retryBudget: settings.retryBudget,
--- a/packages/shallotpond/src/settings-page.ts
+++ b/packages/shallotpond/src/settings-page.ts
@@ -1,5 +1,5 @@
 /**
- * The settings table of `docs/operations.md`, made from the same table as `--help`. A test compares
+ * The settings table of `docs/OPERATIONS.md`, made from the same table as `--help`. A test compares
  * the page with it.
  */
 import {tabulateSettings} from '@shallotpond/kernel/settings';
