Give up attempts by the route's objective, and take no short timeout for a failure

The mean latency lacks the answers that were given up, and mixes routes of different work. Ruled out: late reports; the instances that chose a failing target knew of it. Change: a sound target gets 3.5 mean latencies or 0.9 objectives, a suspected one 2 or 0.5; a timeout below 0.45 objectives, as on routes with a short limit, says nothing of the target.

--- a/packages/gateway/src/__tests__/routing-service.test.ts
+++ b/packages/gateway/src/__tests__/routing-service.test.ts
@@ -18,9 +18,7 @@
 	fleet: {maxInstances: 48},
 	failureDomains: {north: {}},
 	services: {orders: {targets: [], slots: 2, coldRate: 7, coldTime: 3000}},
-	routes: [
-		{id: 'orders', pathPrefix: '/', service: 'orders', open: true, idempotentMethods: ['GET']},
-	],
+	routes: [{id: 'orders', pathPrefix: '/', service: 'orders', open: true, latencyObjective: 1200}],
 	workspaces: {},
 });
 
@@ -113,6 +111,32 @@
 		expect(directory.find('a')?.coldUntil).toBe(clock.monotonic() + 3000);
 	});
 
+	test('slow work at a sound target is not given up, and does not shorten the next patience', () => {
+		list('a');
+		for (let index = 0; index < 20; index++) {
+			const grant = acquire() as SlotGrant;
+			grant.release({result: 'ok', latency: 350, slotTime: 350});
+		}
+
+		expect((acquire() as SlotGrant).patience).toBeGreaterThanOrEqual(3 * 350);
+		const failing = acquire() as SlotGrant;
+		for (let index = 0; index < 20; index++) {
+			(acquire() as SlotGrant).release({result: 'timeout', latency: 1200, slotTime: 1200});
+		}
+
+		failing.release({result: 'ok', latency: 350, slotTime: 350});
+		expect((acquire() as SlotGrant).patience).toBeLessThan(3 * 350);
+	});
+
+	test('a request that had little time says nothing of its target when it times out', () => {
+		list('a');
+		for (let index = 0; index < 20; index++) {
+			(acquire() as SlotGrant).release({result: 'timeout', latency: 300, slotTime: 300});
+		}
+
+		expect((acquire() as SlotGrant).basis?.risk).toBeLessThan(0.1);
+	});
+
 	test('a target that is no longer listed gets nothing, though it was chosen before', () => {
 		list('a');
 		const grant = acquire() as SlotGrant;
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -4,7 +4,10 @@
  */
 import {type EventLog} from '@shallotpond/observability/event-log';
 import {type AttemptOutcome, type Refusal} from '@shallotpond/kernel/attempt-outcome';
-import {type TargetDefinition} from '@shallotpond/configuration/document-schema';
+import {
+	type RouteDefinition,
+	type TargetDefinition,
+} from '@shallotpond/configuration/document-schema';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type Random} from '@shallotpond/kernel/random';
 import {type SlotGrant, type SlotRequest} from '@shallotpond/io-http/request-policy';
@@ -62,11 +65,24 @@
 const suspicion = 0.3;
 /** Milliseconds after which a caller may come back when a service has no target. */
 const noTargetRetryAfter = 500;
-/** Where the service has answered nothing yet: part of the objective that one attempt may take. */
-const unknownLatencyShare = 0.4;
+/**
+ * Silence after which an attempt is given up. Answers that were given up are missing from the mean
+ * latency, so a short patience lowers the mean and with it the next patience.
+ */
+const patience = {
+	/** In mean latencies of the service and in objectives of the route; the longer one holds. */
+	trusted: {means: 3.5, objectives: 0.9},
+	suspected: {means: 2, objectives: 0.5},
+} as const;
+/** Part of the objective; a shorter silence says nothing of the target, only of the time it had. */
+const tellingSilence = 0.45;
 /** Bytes that an answer is expected to have. */
 const answerBytesByKind = {download: 90_000, other: 2000} as const;
 
+function objectiveOf(route: RouteDefinition): number {
+	return route.latencyObjective ?? route.timeout / 2;
+}
+
 export function createRoutingService(options: RoutingServiceOptions): RoutingService {
 	const {clock, random, log, configuration, directory, evidence} = options;
 	const inFlight = new Map<string, number>();
@@ -158,9 +174,11 @@
 		}
 	}
 
-	function settle(target: KnownTarget, outcome: AttemptOutcome): void {
+	function settle(target: KnownTarget, request: SlotRequest, outcome: AttemptOutcome): void {
 		const now = clock.monotonic();
-		const {result, latency} = outcome;
+		const {latency} = outcome;
+		const isTelling = latency >= objectiveOf(request.route) * tellingSilence;
+		const result = outcome.result === 'timeout' && !isTelling ? 'cancelled' : outcome.result;
 		changeInFlight(target.incarnation, -1);
 		if (result === 'misdirected') {
 			directory.markMisdirected(target.definition.id);
@@ -193,16 +211,15 @@
 		noteBelief(target, now);
 	}
 
-	/** How long an attempt of a repeatable request may be silent before another one may start. */
-	function patienceOf(request: SlotRequest, now: number): number {
-		const mean = evidence.meanLatency(request.service, now);
-		const objective = request.route.latencyObjective ?? request.route.timeout / 2;
-		if (mean === undefined) {
-			return objective * unknownLatencyShare;
-		}
-
-		const latest = objective - mean * 1.5;
-		return Math.min(Math.max(latest, mean * 1.8), mean * 3);
+	/**
+	 * How long an attempt of a repeatable request may be silent before another one may start. Work
+	 * varies by a factor of two or three, so only a target that others found failing is given up soon.
+	 */
+	function patienceOf(target: KnownTarget, request: SlotRequest, now: number): number {
+		const mean = evidence.meanLatency(request.service, now) ?? 0;
+		const {failureRisk} = evidence.conditionOf(target.incarnation, target.service, now);
+		const limits = failureRisk > suspicion ? patience.suspected : patience.trusted;
+		return Math.max(mean * limits.means, objectiveOf(request.route) * limits.objectives);
 	}
 
 	function refuse(service: string, code: string): Refusal {
@@ -240,10 +257,10 @@
 			signal: createStopController().signal,
 			keepsConnection: true,
 			basis: basisOf(target, candidates, now),
-			patience: patienceOf(request, now),
+			patience: patienceOf(target, request, now),
 			isInForce: () => request.route.open || !configuration.isUncertain(),
 			release(outcome) {
-				settle(target, outcome);
+				settle(target, request, outcome);
 			},
 		};
 	}
