--- a/packages/gateway/src/__tests__/routing-service.test.ts
+++ b/packages/gateway/src/__tests__/routing-service.test.ts
@@ -42,6 +42,7 @@
 				adopt: () => undefined,
 				confirm: () => undefined,
 				confirmedAgo: () => 0,
+				coldTimeOf: () => 3000,
 				isUncertain: () => false,
 			},
 			directory,
@@ -140,7 +141,7 @@
 	test('a target that is no longer listed gets nothing, though it was chosen before', () => {
 		list('a');
 		const grant = acquire() as SlotGrant;
-		directory.unlist('a', clock.monotonic());
+		directory.unlist('a');
 		expect(routing.isOffered(grant.target)).toBe(false);
 	});
 });
--- a/packages/gateway/src/configuration-service.ts
+++ b/packages/gateway/src/configuration-service.ts
@@ -22,6 +22,8 @@
 	confirm(at: number): void;
 	/** Milliseconds since the configuration was known to be the newest; infinite before that. */
 	confirmedAgo(): number;
+	/** Milliseconds for which a target of the service is cold after its start. */
+	coldTimeOf(service: string): number;
 	/** Whether a key could have been withdrawn without this instance knowing it in time. */
 	isUncertain(): boolean;
 };
@@ -102,6 +104,7 @@
 			}
 		},
 		confirmedAgo,
+		coldTimeOf: service => tables?.document.services[service]?.coldTime ?? 0,
 		isUncertain: () =>
 			revocationLimit !== undefined && confirmedAgo() > revocationLimit - dispatchReserve,
 	};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,6 @@
 import {type HttpCounterName} from '@shallotpond/io-http/http-counters';
 import {type HttpLimits} from '@shallotpond/io-http/http-limits';
 import {type RequestDialect} from '@shallotpond/io-http/request-dialect';
-import {type RequestPolicy} from '@shallotpond/io-http/request-policy';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {createKernel, type Kernel, type Service} from '@shallotpond/kernel/kernel';
 import {type Random} from '@shallotpond/kernel/random';
@@ -24,6 +23,7 @@
 import {createTargetEvidence} from '@shallotpond/policy-routing/target-evidence';
 import {createWorkspaceAllowance} from '@shallotpond/policy-routing/workspace-allowance';
 import {createConfigurationService, type ConfigurationService} from './configuration-service.js';
+import {createGatewayPolicy} from './gateway-policy.js';
 import {createFleetService, type FleetService} from './fleet-service.js';
 import {
 	createPublishedService,
@@ -121,12 +121,10 @@
 		revocationLimit: options.revocationLimit,
 		onDomainReturned(domain) {
 			// Nobody used its targets meanwhile, so they are cold whatever their entries say.
-			directory.markDomainCold(domain, coldTimeOf, clock.monotonic());
+			directory.markDomainCold(domain, configuration.coldTimeOf, clock.monotonic());
 		},
 	});
 	const directory = createTargetDirectory();
-	const coldTimeOf = (service: string) =>
-		configuration.tables?.document.services[service]?.coldTime ?? 0;
 	const evidence = createTargetEvidence();
 	const routing = createRoutingService({
 		clock,
@@ -151,9 +149,8 @@
 		ratio: options.retryBudget.ratio * retryRatioShare,
 		reserve: options.retryBudget.reserve,
 		window: options.retryBudget.window,
-		fleetSize: () => Math.max(fewestInstances, fleet.roster.size),
+		fleetSize: () => Math.max(fewestInstances, fleet.roster.largestSize),
 	});
-	const split = createServiceSplit(random);
 	const fleet = createFleetService({
 		clock,
 		random,
@@ -166,7 +163,6 @@
 			targets: routing.takeReport(),
 			inFlight: routing.inFlight(),
 			admitted: allowance.admitted,
-			crashes: [],
 			configuration: {
 				version: configuration.version,
 				revision: published.revision,
@@ -177,9 +173,6 @@
 		onTargets: routing.merge,
 		onLoad: routing.noteLoad,
 		onAdmitted: allowance.noteAdmitted,
-		onCrash() {
-			// Crashes are not shared yet.
-		},
 		onConfiguration(state, from) {
 			published.noteMember(state, from);
 		},
@@ -194,6 +187,7 @@
 			noteCertainty();
 		},
 	});
+
 	function setCallerIdleTimeout(timeout: number): void {
 		callers.setIdleTimeout(timeout + idleReserve);
 	}
@@ -226,52 +220,15 @@
 		}
 	}
 
-	const policy: RequestPolicy = {
-		tables: () => configuration.tables,
-		isIsolated: configuration.isUncertain,
-		chooseService: route => split.choose(route),
-		isTargetOffered: target => routing.isOffered(target),
-		async admit({workspace}) {
-			const rate = configuration.tables?.document.workspaces[workspace];
-			if (rate === undefined) {
-				return {kind: 'admitted'};
-			}
-
-			const decision = allowance.admit(workspace, rate, clock.monotonic());
-			return decision.isAdmitted
-				? {kind: 'admitted'}
-				: {
-						kind: 'refused',
-						code: 'rate-exceeded',
-						status: 429,
-						detail: 'The workspace has used up its rate',
-						runState: 'not-run',
-						retryAfter: decision.retryAfter,
-					};
-		},
-		acquireSlot: async request => routing.acquire(request),
-		claimIdempotencyKey: async () => ({
-			kind: 'claimed',
-			startBefore: Number.POSITIVE_INFINITY,
-			settle() {
-				// The platform knows no idempotency keys.
-			},
-		}),
-		clearFingerprint: async () => ({
-			kind: 'allowed',
-			async reportCrash() {
-				// Crashes are not shared yet.
-			},
-			finish() {
-				// Nothing waits for the end of an attempt.
-			},
-		}),
-		countRequest(service) {
-			retries.countRequest(service, clock.monotonic());
-		},
-		takeRetry: service => retries.take(service, clock.monotonic()),
-	};
-
+	const policy = createGatewayPolicy({
+		clock,
+		configuration,
+		routing,
+		allowance,
+		retries,
+		split: createServiceSplit(random),
+		roster: fleet.roster,
+	});
 	const callers = createCallerListener({
 		policy,
 		clock,
--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -37,9 +37,10 @@
 					hops.push(line);
 					return {
 						traceparent: undefined,
-						end(result) {
+						end(result, basis = {}) {
 							const duration = clock.monotonic() - hopStartedAt;
 							line.result = result;
+							Object.assign(line, basis);
 							line.ms = Math.round(duration);
 							metrics.record(`${name}-duration`, duration);
 						},
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -14,7 +14,11 @@
 import {createStopController} from '@shallotpond/io-http/stop-signal';
 import {createSlidingCount, type SlidingCount} from '@shallotpond/policy-routing/sliding-count';
 import {createTargetChoice} from '@shallotpond/policy-routing/target-choice';
-import {type KnownTarget, type TargetDirectory} from '@shallotpond/policy-routing/target-directory';
+import {
+	idOf,
+	type KnownTarget,
+	type TargetDirectory,
+} from '@shallotpond/policy-routing/target-directory';
 import {type TargetEvidence} from '@shallotpond/policy-routing/target-evidence';
 import {
 	type Member,
@@ -142,10 +146,6 @@
 		coldShare,
 	});
 
-	function coldTimeOf(service: string): number {
-		return configuration.tables?.document.services[service]?.coldTime ?? 0;
-	}
-
 	function changeInFlight(incarnation: string, change: number): void {
 		const count = (inFlight.get(incarnation) ?? 0) + change;
 		if (count <= 0) {
@@ -201,7 +201,7 @@
 
 		if (result === 'connection-failed' || result === 'connection-broken') {
 			// It may have restarted, which its entry tells only with the next check-in.
-			directory.markCold(target.definition.id, coldTimeOf(target.service), now);
+			directory.markCold(target.definition.id, configuration.coldTimeOf(target.service), now);
 		}
 
 		if (outcomeClass === 'path') {
@@ -292,8 +292,7 @@
 		},
 		merge(reports, now) {
 			for (const {incarnation, ...counts} of reports) {
-				const id = incarnation.slice(0, incarnation.lastIndexOf('@'));
-				const target = directory.find(id);
+				const target = directory.find(idOf(incarnation));
 				if (target?.incarnation !== incarnation) {
 					continue;
 				}
@@ -311,6 +310,12 @@
 			[...evidence.takeReport()].map(([incarnation, {counts}]) => ({incarnation, ...counts})),
 		prune(now) {
 			evidence.prune(now);
+			for (const incarnation of suspected) {
+				if (directory.find(idOf(incarnation))?.incarnation !== incarnation) {
+					suspected.delete(incarnation);
+				}
+			}
+
 			for (const [incarnation, at] of servedAt) {
 				if (now - at > connectionLife) {
 					servedAt.delete(incarnation);
--- a/packages/io-fleet/src/__tests__/fleet-codec.test.ts
+++ b/packages/io-fleet/src/__tests__/fleet-codec.test.ts
@@ -15,7 +15,6 @@
 		targets: [{incarnation: 'i-1@5', good: 3, bad: 1, busy: 2, latency: 640}],
 		inFlight: [['i-1@5', 2]],
 		admitted: [{workspace: 'reed', total: 17}],
-		crashes: [['fingerprint', 2]],
 		isLeaving: false,
 	},
 ];
--- a/packages/io-fleet/src/fleet-codec.ts
+++ b/packages/io-fleet/src/fleet-codec.ts
@@ -30,7 +30,6 @@
 	number | undefined,
 	Array<[string, number, number, number, number]>,
 	Array<[string, number]>,
-	Array<[string, number]>,
 	boolean,
 	Array<[string, number]>,
 ];
@@ -49,7 +48,6 @@
 			Math.round(target.latency),
 		]),
 		report.admitted.map(({workspace, total}) => [workspace, total]),
-		report.crashes.map(([fingerprint, count]) => [fingerprint, count]),
 		report.isLeaving,
 		report.inFlight.map(([incarnation, requests]) => [incarnation, requests]),
 	],
@@ -62,17 +60,8 @@
 	Record<FleetMessage['kind'], (from: Member, fields: unknown[]) => FleetMessage>
 > = {
 	report(from, fields) {
-		const [
-			isRelayed,
-			version,
-			revision,
-			confirmedAgo,
-			targets,
-			admitted,
-			crashes,
-			isLeaving,
-			inFlight,
-		] = fields as ReportFields;
+		const [isRelayed, version, revision, confirmedAgo, targets, admitted, isLeaving, inFlight] =
+			fields as ReportFields;
 		return {
 			kind: 'report',
 			from,
@@ -86,7 +75,6 @@
 				latency,
 			})),
 			admitted: admitted.map(([workspace, total]) => ({workspace, total})),
-			crashes,
 			isLeaving,
 			inFlight,
 		};
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -224,7 +224,7 @@
 			deadline,
 			signal: received.cancellation.signal,
 		});
-		hop.end(answer.kind);
+		hop.end(answer.kind, answer.kind === 'refused' ? answer.basis : undefined);
 		return answer.kind === 'refused' ? problemFromRefusal(answer) : undefined;
 	}
 
--- a/packages/io-http/src/request-tracer.ts
+++ b/packages/io-http/src/request-tracer.ts
@@ -7,8 +7,8 @@
 export type HopSpan = {
 	/** Value of `traceparent` for the target; undefined where nothing is traced. */
 	readonly traceparent: string | undefined;
-	/** `result` is a short word such as `ok`, `refused` or an `AttemptResult`. */
-	end(result: string): void;
+	/** `result` is a short word such as `ok`, `refused` or an `AttemptResult`; `basis` is what decided. */
+	end(result: string, basis?: Readonly<Record<string, number>>): void;
 };
 
 export type RequestSpan = {
--- a/packages/kernel/src/attempt-outcome.ts
+++ b/packages/kernel/src/attempt-outcome.ts
@@ -16,6 +16,8 @@
 	readonly runState: RunState;
 	/** Milliseconds after which another try makes sense. */
 	readonly retryAfter?: number;
+	/** What decided, for logs and traces. */
+	readonly basis?: Readonly<Record<string, number>>;
 };
 
 /** How one attempt at a target ended. */
--- a/packages/platform/src/published-state.ts
+++ b/packages/platform/src/published-state.ts
@@ -114,7 +114,7 @@
 		const known = listed.get(id);
 		if (known !== undefined) {
 			listed.delete(id);
-			directory.unlist(id, clock.monotonic());
+			directory.unlist(id);
 			log.write('target-unlisted', {target: id, service: known.service});
 		}
 	}
--- a/packages/policy-fleet/src/__tests__/fleet-member.test.ts
+++ b/packages/policy-fleet/src/__tests__/fleet-member.test.ts
@@ -39,7 +39,6 @@
 				targets: own.targets.splice(0),
 				inFlight: [],
 				admitted: own.admitted,
-				crashes: [],
 				configuration: {version: 1, revision: 1, confirmedAgo: 0},
 				isLeaving: false,
 			}),
@@ -48,7 +47,6 @@
 			onAdmitted(workspace, count) {
 				admitted.set(workspace, (admitted.get(workspace) ?? 0) + count);
 			},
-			onCrash: () => undefined,
 			onConfiguration: () => undefined,
 		});
 		const instance: Instance = {self, member, heard, admitted, own, bytes: 0};
--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -28,7 +28,6 @@
 	readonly onLoad: (from: Member, inFlight: readonly TargetLoad[], now: number) => void;
 	/** Requests that a member admitted since its last report. */
 	readonly onAdmitted: (workspace: string, count: number, now: number) => void;
-	readonly onCrash: (fingerprint: string, count: number, now: number) => void;
 	readonly onConfiguration: (state: ConfigurationState, from: Member, now: number) => void;
 };
 
@@ -94,10 +93,6 @@
 		}
 
 		takeTotals(report.from, report.admitted, now);
-		for (const [fingerprint, count] of report.crashes) {
-			options.onCrash(fingerprint, count, now);
-		}
-
 		return outgoing;
 	}
 
--- a/packages/policy-fleet/src/fleet-message.ts
+++ b/packages/policy-fleet/src/fleet-message.ts
@@ -51,8 +51,6 @@
 	/** All of the sender's, so that a lost report is made good by the next one. */
 	readonly inFlight: readonly TargetLoad[];
 	readonly admitted: readonly WorkspaceTotal[];
-	/** Fingerprints of requests whose targets crashed, with the number of crashes. */
-	readonly crashes: ReadonlyArray<readonly [fingerprint: string, count: number]>;
 	readonly isLeaving: boolean;
 };
 
--- a/packages/policy-fleet/src/fleet-roster.ts
+++ b/packages/policy-fleet/src/fleet-roster.ts
@@ -27,6 +27,8 @@
 	heardCount(now: number): number;
 	/** Known members, this instance included. */
 	readonly size: number;
+	/** The most that were known at once; those that went silent may go on elsewhere. */
+	readonly largestSize: number;
 	/** Part of the known fleet that was heard lately, 0 to 1. */
 	contact(now: number): number;
 	forgetSilent(now: number): void;
@@ -44,6 +46,7 @@
 
 export function createFleetRoster({self, onJoined, onLeft}: FleetRosterOptions): FleetRoster {
 	const entries = new Map<string, Entry>();
+	let largestSize = 1;
 
 	function isOlder(member: Member): boolean {
 		const known = entries.get(member.address)?.member;
@@ -53,6 +56,7 @@
 	function keep(member: Member, now: number): void {
 		const known = entries.get(member.address)?.member;
 		entries.set(member.address, {member, heardAt: now});
+		largestSize = Math.max(largestSize, entries.size + 1);
 		if (known?.startedAt !== member.startedAt) {
 			onJoined?.(member);
 		}
@@ -129,6 +133,9 @@
 		get size() {
 			return entries.size + 1;
 		},
+		get largestSize() {
+			return largestSize;
+		},
 		contact: now => heardCount(now) / (entries.size + 1),
 		forgetSilent(now) {
 			for (const [address, entry] of entries) {
--- a/packages/policy-fleet/src/report-schedule.ts
+++ b/packages/policy-fleet/src/report-schedule.ts
@@ -18,9 +18,8 @@
 	readonly targets: readonly TargetReport[];
 	/** Told to neighbours only: it changes too often to cross between failure domains. */
 	readonly inFlight: readonly TargetLoad[];
-	/** Totals by workspace; only those that changed are sent, and all of them now and then. */
+	/** Totals by workspace; those that changed are sent, and a later one makes good a lost one. */
 	readonly admitted: ReadonlyMap<string, number>;
-	readonly crashes: ReadonlyArray<readonly [fingerprint: string, count: number]>;
 	readonly configuration: ConfigurationState;
 	readonly isLeaving: boolean;
 };
@@ -36,7 +35,7 @@
 export type ReportSchedule = {
 	/** Called at every tick; returns what is to be sent. */
 	tick(now: number): OutgoingMessage[];
-	/** A failure or a crash was seen: the next tick reports it, whatever the pace. */
+	/** A failure was seen: the next tick reports it, whatever the pace. */
 	hasten(): void;
 	/** The load that this instance puts on targets has changed: the next tick tells neighbours. */
 	noteLoad(): void;
@@ -56,7 +55,6 @@
 	readonly heartbeat: number;
 	readonly targets: Map<string, TargetReport>;
 	readonly sentTotals: Map<string, number>;
-	crashes: Array<readonly [string, number]>;
 	sentAt: number;
 };
 
@@ -66,7 +64,6 @@
 		heartbeat,
 		targets: new Map(),
 		sentTotals: new Map(),
-		crashes: [],
 		sentAt: Number.NEGATIVE_INFINITY,
 	};
 }
@@ -113,7 +110,6 @@
 			targets: [...audience.targets.values()],
 			inFlight: audience === near ? content.inFlight : [],
 			admitted,
-			crashes: audience.crashes,
 			isLeaving: content.isLeaving,
 		};
 	}
@@ -128,7 +124,7 @@
 	}
 
 	function hasNews(audience: Audience, content: ReportContent): boolean {
-		if (audience.targets.size > 0 || audience.crashes.length > 0) {
+		if (audience.targets.size > 0) {
 			return true;
 		}
 
@@ -143,7 +139,6 @@
 
 	function clear(audience: Audience, now: number): void {
 		audience.targets.clear();
-		audience.crashes = [];
 		audience.sentAt = now;
 	}
 
@@ -181,8 +176,6 @@
 				addReport(far.targets, report);
 			}
 
-			near.crashes.push(...content.crashes);
-			far.crashes.push(...content.crashes);
 			isHasty ||= content.isLeaving !== isLeaving;
 			// Neighbours whose own source is stuck learn from this that there is news.
 			isNearHasty ||= isHasty || content.configuration.revision !== revision;
--- a/packages/policy-routing/src/target-directory.ts
+++ b/packages/policy-routing/src/target-directory.ts
@@ -33,7 +33,7 @@
 export type TargetDirectory = {
 	list(target: ListedTarget, now: number): void;
 	/** The platform no longer lists the target. */
-	unlist(id: string, now: number): void;
+	unlist(id: string): void;
 	/**
 	 * Replaces everything that is known. After an outage of the platform entries may have lapsed
 	 * although their targets live; those that are missing are kept for `lapseGrace` milliseconds.
@@ -61,6 +61,11 @@
 	markedColdUntil: number;
 };
 
+/** The id in the name of an incarnation. */
+export function idOf(incarnation: string): string {
+	return incarnation.slice(0, incarnation.lastIndexOf('@'));
+}
+
 function incarnationOf(target: ListedTarget): string {
 	return `${target.id}@${target.bornAt}`;
 }
