--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,7 +5,7 @@
  */
 import {type EventLog} from '@shallotpond/observability/event-log';
 import {createCallerListener, type CallerListener} from '@shallotpond/io-http/caller-listener';
-import {type HttpCounterName} from '@shallotpond/io-http/http-counters';
+import {httpCounterLabels} from '@shallotpond/io-http/http-counters';
 import {type HttpLimits} from '@shallotpond/io-http/http-limits';
 import {type RequestDialect} from '@shallotpond/io-http/request-dialect';
 import {type Clock} from '@shallotpond/kernel/clock';
@@ -86,14 +86,6 @@
 	stop(): Promise<void>;
 };
 
-const counterLabels: Readonly<Record<HttpCounterName, string | undefined>> = {
-	refusals: 'code',
-	'closed-connections': 'reason',
-	attempts: 'result',
-	resumes: undefined,
-	'reset-answers': 'reason',
-	'unexpected-bytes': undefined,
-};
 /** Part of the fleet's retry ratio that is used; counting at the targets differs by late arrivals. */
 const retryRatioShare = 0.9;
 /** Instances assumed to share the reserve before the others are known. */
@@ -238,7 +230,7 @@
 		limits: options.httpLimits,
 		counters: {
 			increment(name, label) {
-				const labelName = counterLabels[name];
+				const labelName = httpCounterLabels[name];
 				metrics.count(name, 1, labelName === undefined ? {} : {[labelName]: label ?? ''});
 			},
 		},
--- a/packages/gateway/src/published-service.ts
+++ b/packages/gateway/src/published-service.ts
@@ -146,8 +146,10 @@
 		}
 
 		takeChanges(changes.items, changes.revision);
-		// An answer without changes was written at the end of the wait.
-		noteContact(changes.items.length === 0 ? startedAt + storeWait : startedAt);
+		// Only an answer that comes after the whole wait was surely written at its end.
+		const isWaitOver = clock.monotonic() - startedAt >= storeWait;
+		const isQuiet = changes.items.length === 0 && isWaitOver;
+		noteContact(isQuiet ? startedAt + storeWait : startedAt);
 	}
 
 	async function readMember(address: string, wait: number, signal: AbortSignal): Promise<void> {
--- a/packages/io-http/src/http-counters.ts
+++ b/packages/io-http/src/http-counters.ts
@@ -17,6 +17,16 @@
 	increment(name: HttpCounterName, label?: string): void;
 };
 
+/** The name of each counter's label, where it has one. */
+export const httpCounterLabels: Readonly<Record<HttpCounterName, string | undefined>> = {
+	refusals: 'code',
+	'closed-connections': 'reason',
+	attempts: 'result',
+	resumes: undefined,
+	'reset-answers': 'reason',
+	'unexpected-bytes': undefined,
+};
+
 export const silentCounters: HttpCounters = {
 	increment() {
 		// Counts nothing.
--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -4,7 +4,7 @@
  */
 import {randomBytes} from 'node:crypto';
 import {createCallerListener, type CallerListener} from '@shallotpond/io-http/caller-listener';
-import {type HttpCounterName} from '@shallotpond/io-http/http-counters';
+import {httpCounterLabels} from '@shallotpond/io-http/http-counters';
 import {type HttpLimits} from '@shallotpond/io-http/http-limits';
 import {type TargetTls} from '@shallotpond/io-http/target-connections';
 import {type TlsContext} from '@shallotpond/io-http/tls-context';
@@ -80,14 +80,6 @@
 	readonly isReady: boolean;
 };
 
-const counterLabels: Readonly<Record<HttpCounterName, string | undefined>> = {
-	refusals: 'code',
-	'closed-connections': 'reason',
-	attempts: 'result',
-	resumes: undefined,
-	'reset-answers': 'reason',
-	'unexpected-bytes': undefined,
-};
 const incarnationBytes = 6;
 /** Milliseconds in which successors fetch what this instance remembers. */
 const handoverDelay = 300;
@@ -176,7 +168,7 @@
 		...(options.httpLimits && {limits: options.httpLimits}),
 		counters: {
 			increment(name, label) {
-				const labelName = counterLabels[name];
+				const labelName = httpCounterLabels[name];
 				metrics.count(name, 1, labelName === undefined ? {} : {[labelName]: label ?? ''});
 			},
 		},
