Drop an unused header name and options that repeat those of the fleet member

Cause: FleetServiceOptions left a field out and declared it and two others again; one header name had no user. Ruled out: nothing; found by reading the change. Change: the options extend those of the fleet member; the name is gone.

--- a/packages/gateway/src/fleet-service.ts
+++ b/packages/gateway/src/fleet-service.ts
@@ -4,11 +4,9 @@
  */
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type Service} from '@shallotpond/kernel/kernel';
-import {type Random} from '@shallotpond/kernel/random';
 import {createDatagramTask} from '@shallotpond/io-fleet/datagram-task';
 import {createFleetMember, type FleetMemberOptions} from '@shallotpond/policy-fleet/fleet-member';
 import {type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
-import {type Member} from '@shallotpond/policy-fleet/fleet-message';
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {type EventLog} from '@shallotpond/observability/event-log';
 
@@ -22,14 +20,11 @@
 	flush(): void;
 };
 
-export type FleetServiceOptions = Omit<FleetMemberOptions, 'onConfiguration'> & {
+export type FleetServiceOptions = FleetMemberOptions & {
 	readonly clock: Clock;
-	readonly random: Random;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
-	readonly self: Member;
 	readonly port: number;
-	readonly onConfiguration: FleetMemberOptions['onConfiguration'];
 	/** Called once a second. */
 	readonly onSecond: (now: number) => void;
 };
--- a/packages/platform/src/wire-names.ts
+++ b/packages/platform/src/wire-names.ts
@@ -12,8 +12,6 @@
 	/** Id of the server that must run the request; any other one at the address refuses it. */
 	target: 'x-shallotpond-target-instance',
 	notExecuted: 'x-shallotpond-not-executed',
-	/** Id of the server that answers a health check or a misdirected request. */
-	answeringTarget: 'x-shallotpond-instance-id',
 	key: 'x-shallotpond-credential',
 } as const;
 
