Show which targets of a service get no requests, and read the floor

New: the event service-narrowed with the beliefs about the targets that got nothing for 2 s, its counterpart service-widened, the metrics targets_in_use and targets_usable by service, and unusedFor in the basis of each attempt. The floor comes from the platform's settings, which decodeService replaced by 0 before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -190,6 +190,7 @@
 		},
 		onSecond(now) {
 			routing.prune(now);
+			routing.watchCoverage(now);
 			crashes.prune(now);
 			noteCertainty();
 		},
@@ -267,6 +268,13 @@
 		},
 	});
 
+	metrics.gaugeBy('targets-usable', 'Targets that could get requests', 'service', () =>
+		[...routing.coverage(clock.monotonic())].map(([service, {usable}]) => [service, usable]),
+	);
+	metrics.gaugeBy('targets-in-use', 'Targets that got a request lately', 'service', () =>
+		[...routing.coverage(clock.monotonic())].map(([service, {inUse}]) => [service, inUse]),
+	);
+
 	kernel.provide('configuration', configuration);
 	kernel.provide('directory', directory);
 	kernel.provide('routing', routing);
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -14,6 +14,12 @@
 import {createStopController} from '@shallotpond/io-http/stop-signal';
 import {createConnectionTrust} from '@shallotpond/policy-routing/connection-trust';
 import {createSlidingCount, type SlidingCount} from '@shallotpond/policy-routing/sliding-count';
+import {
+	coverageWindow,
+	floorCount,
+	measureCoverage,
+	type Coverage,
+} from '@shallotpond/policy-routing/service-coverage';
 import {createTargetChoice} from '@shallotpond/policy-routing/target-choice';
 import {
 	idOf,
@@ -21,6 +27,7 @@
 	type TargetDirectory,
 } from '@shallotpond/policy-routing/target-directory';
 import {type TargetEvidence} from '@shallotpond/policy-routing/target-evidence';
+import {createTargetUsage} from '@shallotpond/policy-routing/target-usage';
 import {
 	type Member,
 	type TargetLoad,
@@ -44,6 +51,10 @@
 	takeReport(): TargetReport[];
 	/** Forgets what is out of date. */
 	prune(now: number): void;
+	/** Logs services whose load has narrowed to fewer targets than their floor, or widened again. */
+	watchCoverage(now: number): void;
+	/** Usable targets of each service, and those that get requests. */
+	coverage(now: number): ReadonlyMap<string, Coverage>;
 };
 
 export type RoutingServiceOptions = {
@@ -84,6 +95,16 @@
 /** Bytes that an answer is expected to have. */
 const answerBytesByKind = {download: 90_000, other: 2000} as const;
 
+/** Requests of a service for each of its targets in `coverageWindow` below which its use says nothing. */
+const requestsPerTarget = 2;
+const coverageSeconds = coverageWindow / millisecondsPerSecond;
+const hundredths = 100;
+
+/** Digits that a reader of the log needs. */
+function roundFraction(value: number): number {
+	return Math.round(value * hundredths) / hundredths;
+}
+
 /** Milliseconds within which an answer is worth most. */
 export function objectiveOf(route: RouteDefinition): number {
 	return route.latencyObjective ?? route.timeout / 2;
@@ -100,6 +121,9 @@
 	const staleConnections = new Map<string, number>();
 	const rates = new Map<string, SlidingCount>();
 	const suspected = new Set<string>();
+	const usage = createTargetUsage();
+	/** Services whose load has narrowed. */
+	const narrowed = new Set<string>();
 	const startedAt = clock.monotonic();
 
 	function countRequests(service: string, amount: number, now: number): void {
@@ -183,6 +207,54 @@
 		}
 	}
 
+	function coverageOf(service: string, now: number): Coverage {
+		return measureCoverage({
+			targets: directory.usable(service, now).filter(target => isOpen(target)),
+			unusedFor: target => usage.unusedFor(target, now),
+		});
+	}
+
+	/** Why a target is left out, for the log. */
+	function describeUnused(target: KnownTarget, now: number) {
+		const {failureRisk, slowness, busyness, isUnreachable} = evidence.conditionOf(
+			target.incarnation,
+			target.service,
+			now,
+		);
+		return {
+			target: target.incarnation,
+			unusedFor: Math.round(usage.unusedFor(target, now)),
+			risk: roundFraction(failureRisk),
+			slowness: roundFraction(slowness),
+			busyness: roundFraction(busyness),
+			coldFor: Math.max(0, Math.round(target.coldUntil - now)),
+			isUnreachable,
+		};
+	}
+
+	function noteCoverage(service: string, floor: number, now: number): void {
+		const {usable, inUse, unused} = coverageOf(service, now);
+		const rate = observedRate(service, now);
+		// With few requests not every target can have one.
+		const isNarrow =
+			inUse < floorCount(floor, usable) && rate * coverageSeconds >= usable * requestsPerTarget;
+		if (isNarrow === narrowed.has(service)) {
+			return;
+		}
+
+		const fields = {service, inUse, usable, floor, rate: Math.round(rate)};
+		if (isNarrow) {
+			narrowed.add(service);
+			log.write('service-narrowed', {
+				...fields,
+				unused: unused.map(target => describeUnused(target, now)),
+			});
+		} else {
+			narrowed.delete(service);
+			log.write('service-widened', fields);
+		}
+	}
+
 	function noteStale(target: KnownTarget, now: number): void {
 		const {service, definition} = target;
 		const wasDoubted = connectionTrust.isDoubted(service, now);
@@ -275,8 +347,9 @@
 		const condition = evidence.conditionOf(target.incarnation, target.service, now);
 		return {
 			candidates,
-			risk: Math.round(condition.failureRisk * 100) / 100,
+			risk: roundFraction(condition.failureRisk),
 			load: loadAt(target, now),
+			unusedFor: Math.round(usage.unusedFor(target, now)),
 			listedFor: Math.round(now - target.listedAt),
 		};
 	}
@@ -287,13 +360,15 @@
 		candidates: number,
 		now: number,
 	): SlotGrant {
+		const basis = basisOf(target, candidates, now);
 		changeInFlight(target.incarnation, 1);
+		usage.note(target.incarnation, now);
 		return {
 			kind: 'granted',
 			target: target.definition,
 			signal: createStopController().signal,
 			keepsConnection: true,
-			basis: basisOf(target, candidates, now),
+			basis,
 			patience: patienceOf(target, request, now),
 			longestIdle: connectionTrust.longestIdle(request.service, now),
 			isInForce: () => request.route.open || !configuration.isUncertain(),
@@ -339,6 +414,7 @@
 					noteStale(target, now);
 				}
 
+				usage.note(incarnation, now);
 				evidence.merge(incarnation, target.service, counts, now);
 				countRequests(target.service, counts.good + counts.bad + counts.busy, now);
 				noteBelief(target, now);
@@ -346,6 +422,9 @@
 		},
 		noteLoad(from, loads, now) {
 			fleetLoad.replace(from.address, loads, now);
+			for (const [incarnation] of loads) {
+				usage.note(incarnation, now);
+			}
 		},
 		inFlight: () => [...inFlight],
 		takeReport() {
@@ -366,6 +445,7 @@
 		},
 		prune(now) {
 			evidence.prune(now);
+			usage.prune(now);
 			for (const incarnation of suspected) {
 				if (directory.find(idOf(incarnation))?.incarnation !== incarnation) {
 					suspected.delete(incarnation);
@@ -378,5 +458,16 @@
 				}
 			}
 		},
+		watchCoverage(now) {
+			for (const [service, {floor}] of Object.entries(
+				configuration.tables?.document.services ?? {},
+			)) {
+				noteCoverage(service, floor, now);
+			}
+		},
+		coverage(now) {
+			const services = Object.keys(configuration.tables?.document.services ?? {});
+			return new Map(services.map(service => [service, coverageOf(service, now)]));
+		},
 	};
 }
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -21,6 +21,8 @@
 	| 'target-misdirected'
 	| 'target-suspected'
 	| 'target-trusted'
+	| 'service-narrowed'
+	| 'service-widened'
 	| 'path-avoided'
 	| 'connections-doubted'
 	| 'member-joined'
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -16,6 +16,13 @@
 	record(name: string, milliseconds: number, labels?: Labels): void;
 	/** Registers a gauge that is read on each scrape. */
 	gauge(name: string, help: string, read: () => number): void;
+	/** The same with one value for each value of `label`. */
+	gaugeBy(
+		name: string,
+		help: string,
+		label: string,
+		read: () => Iterable<readonly [labelValue: string, value: number]>,
+	): void;
 	/** The page that Prometheus reads. */
 	render(): Promise<string>;
 	readonly contentType: string;
@@ -159,6 +166,20 @@
 				},
 			});
 		},
+		gaugeBy(name, help, label, read) {
+			const gauge = new Gauge({
+				name: fullName(name),
+				help,
+				labelNames: [label],
+				registers: [registry],
+				collect() {
+					gauge.reset();
+					for (const [labelValue, value] of read()) {
+						gauge.set({[label]: labelValue}, value);
+					}
+				},
+			});
+		},
 		render: async () => registry.metrics(),
 		contentType: registry.contentType,
 	};
--- a/packages/observability/src/structured-log.ts
+++ b/packages/observability/src/structured-log.ts
@@ -34,6 +34,7 @@
 	'certainty-lost': 'warn',
 	'target-suspected': 'warn',
 	'path-avoided': 'warn',
+	'service-narrowed': 'warn',
 	'internal-error': 'error',
 	'lines-dropped': 'warn',
 };
--- a/packages/platform/src/__tests__/platform-settings.test.ts
+++ b/packages/platform/src/__tests__/platform-settings.test.ts
@@ -22,6 +22,7 @@
 			quota_window_s: 5,
 			quota_excess: 0.25,
 			quota_slack: 20,
+			floor_share: 0.8,
 			something_new: 'ignored',
 		},
 	},
@@ -41,11 +42,17 @@
 			store: {host: '10.200.1.7', port: 8041},
 			revocationLimit: 5000,
 			stopLimit: 6000,
+			floor: 0.8,
 			retryBudget: {ratio: 0.2, reserve: 58, window: 10_000},
 			allowanceBound: {window: 5000, excess: 0.25, slack: 20},
 		});
 	});
 
+	test('a platform that states no floor leaves the one of the product in force', () => {
+		const bounds = {...file.terms.bounds, floor_share: undefined};
+		expect(decodeSettings(JSON.stringify({...file, terms: {bounds}})).floor).toBe(0.7);
+	});
+
 	test('every wrong field is named at once', () => {
 		const broken = {...file, self: {node: 'a', zone: 7}, terms: {bounds: {grace_s: -1}}};
 		expect(() => decodeSettings(JSON.stringify(broken))).toThrow(
--- a/packages/platform/src/__tests__/published-state.test.ts
+++ b/packages/platform/src/__tests__/published-state.test.ts
@@ -23,6 +23,7 @@
 		clock,
 		log: silentLog,
 		failureDomains: ['north', 'south'],
+		floor: 0.7,
 		configuration,
 		directory,
 		onCallerIdleTimeout: () => undefined,
--- a/packages/platform/src/__tests__/store-entries.test.ts
+++ b/packages/platform/src/__tests__/store-entries.test.ts
@@ -86,12 +86,13 @@
 });
 
 describe('configuration in the store', () => {
-	const {document} = decodeConfiguration(encode(configuration));
+	const floor = 0.8;
+	const {document} = decodeConfiguration(encode(configuration), floor);
 	const tables = createLookupTables({...document, failureDomains: {north: {state: 'in'}}});
 
 	test('versions compare as their numbers do', () => {
 		expect(document.version).toBe(12);
-		expect(() => decodeConfiguration(encode({...configuration, version: '12'}))).toThrow();
+		expect(() => decodeConfiguration(encode({...configuration, version: '12'}), floor)).toThrow();
 	});
 
 	test('routes are found by host and prefix, and their kind says what may be repeated', () => {
@@ -120,8 +121,12 @@
 		expect(document.services.huvo11a).toMatchObject({coldRate: 10, coldTime: 3000});
 	});
 
+	test('the floor of the settings holds for every service', () => {
+		expect(document.services.huvo11a).toMatchObject({floor});
+	});
+
 	test('without workspaces every route is open', () => {
-		const open = decodeConfiguration(encode({...configuration, tenants: undefined}));
+		const open = decodeConfiguration(encode({...configuration, tenants: undefined}), floor);
 		expect(open.document.routes.every(route => route.open)).toBe(true);
 	});
 });
--- a/packages/platform/src/platform-program.ts
+++ b/packages/platform/src/platform-program.ts
@@ -124,6 +124,7 @@
 				clock,
 				log,
 				failureDomains: settings.failureDomains,
+				floor: settings.floor,
 				onCallerIdleTimeout: state.setCallerIdleTimeout,
 			}),
 		seeds: () => settings.seeds,
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -27,6 +27,8 @@
 	readonly revocationLimit: number | undefined;
 	/** Milliseconds from SIGTERM to SIGKILL. */
 	readonly stopLimit: number;
+	/** Part of the sound targets of a service that must stay in use, 0 to 1. */
+	readonly floor: number;
 	readonly retryBudget: {
 		readonly ratio: number;
 		readonly reserve: number;
@@ -46,6 +48,8 @@
 type Fields = Readonly<Record<string, unknown>>;
 
 const millisecondsPerSecond = 1000;
+/** As in the product's own configuration, for a platform that sets none. */
+const defaultFloor = 0.7;
 
 /** Collects every problem, so that one look at the log shows all of them. */
 class SettingsReader {
@@ -81,6 +85,10 @@
 		return 0;
 	}
 
+	optionalNumber(parent: Fields, name: string): number | undefined {
+		return parent[name] === undefined ? undefined : this.number(parent, name);
+	}
+
 	address(parent: Fields, name: string): SocketAddress {
 		const address = parseSocketAddress(this.text(parent, name));
 		if (address !== undefined) {
@@ -141,6 +149,7 @@
 		store: reader.address(store, 'address'),
 		revocationLimit: bounds.strict_revoke === true ? reader.number(bounds, 'revoke_ms') : undefined,
 		stopLimit: reader.number(bounds, 'grace_s') * millisecondsPerSecond,
+		floor: reader.optionalNumber(bounds, 'floor_share') ?? defaultFloor,
 		retryBudget: {
 			ratio: reader.number(bounds, 'retry_budget_ratio'),
 			reserve: reader.number(bounds, 'budget_extra'),
--- a/packages/platform/src/published-state.ts
+++ b/packages/platform/src/published-state.ts
@@ -20,6 +20,8 @@
 	readonly clock: Clock;
 	readonly log: EventLog;
 	readonly failureDomains: readonly string[];
+	/** Part of the sound targets of each service that must stay in use, 0 to 1. */
+	readonly floor: number;
 	readonly configuration: ConfigurationService;
 	readonly directory: TargetDirectory;
 	readonly onCallerIdleTimeout: (timeout: number) => void;
@@ -56,7 +58,7 @@
 
 	function readConfiguration({key, value}: PublishedItem): ConfigurationEntry | undefined {
 		try {
-			return decodeConfiguration(value!);
+			return decodeConfiguration(value!, options.floor);
 		} catch (error) {
 			refuse(key, error);
 			return undefined;
--- a/packages/platform/src/store-entries.ts
+++ b/packages/platform/src/store-entries.ts
@@ -146,7 +146,7 @@
 	};
 }
 
-function decodeService(value: unknown): [string, ServiceDefinition] {
+function decodeService(value: unknown, floor: number): [string, ServiceDefinition] {
 	const service = toFields(value, 'service');
 	return [
 		toText(service.name, 'name'),
@@ -157,7 +157,7 @@
 			coldSlots: 1,
 			warmUpAnswers: 1,
 			warmUpStep: 0,
-			floor: 0,
+			floor,
 			shardSize: 1,
 			tls: service.tls === true,
 			coldRate: toOptionalNumber(service.cold_per_s),
@@ -189,8 +189,11 @@
 	return digits === undefined ? refuse('version is not known') : Number(digits);
 }
 
-/** Throws a `PlatformError` where the value is no whole configuration. */
-export function decodeConfiguration(value: string): ConfigurationEntry {
+/**
+ * Throws a `PlatformError` where the value is no whole configuration. The floor of all services is a
+ * setting of the process; the store does not repeat it.
+ */
+export function decodeConfiguration(value: string, floor: number): ConfigurationEntry {
 	const entry = decodeFields(value);
 	const tenants = entry.tenants === undefined ? undefined : toList(entry.tenants, 'tenants');
 	const limits = entry.limits === undefined ? {} : toFields(entry.limits, 'limits');
@@ -200,7 +203,7 @@
 			version: decodeVersion(entry.version),
 			fleet: {maxInstances: assumedInstances, minorityFraction: 0},
 			services: Object.fromEntries(
-				toList(entry.services, 'services').map(item => decodeService(item)),
+				toList(entry.services, 'services').map(item => decodeService(item, floor)),
 			),
 			routes: toList(entry.routes, 'routes').map(item => decodeRoute(item, tenants !== undefined)),
 			workspaces: Object.fromEntries((tenants ?? []).map(item => decodeWorkspace(item))),
--- /dev/null
+++ b/packages/policy-routing/src/__tests__/target-usage.test.ts
@@ -0,0 +1,41 @@
+/** Targets that get no requests must not look the same as targets that are asked and sound. */
+import {describe, expect, test} from '@jest/globals';
+import {floorCount, measureCoverage} from '../service-coverage.js';
+import {type KnownTarget} from '../target-directory.js';
+import {createTargetUsage} from '../target-usage.js';
+
+function target(incarnation: string, listedAt = 0): KnownTarget {
+	return {
+		definition: {id: incarnation, address: '10.0.0.1:80', failureDomain: 'north'},
+		incarnation,
+		service: 'roster',
+		slots: 4,
+		coldUntil: 0,
+		listedAt,
+	};
+}
+
+describe('use of targets', () => {
+	test('a target that got nothing is unused since it was listed', () => {
+		const usage = createTargetUsage();
+		expect(usage.unusedFor(target('a@1', 1000), 3500)).toBe(2500);
+		usage.note('a@1', 3000);
+		expect(usage.unusedFor(target('a@1', 1000), 3500)).toBe(500);
+	});
+
+	test('targets without a request in the window do not count as in use', () => {
+		const usage = createTargetUsage();
+		usage.note('a@1', 9000);
+		usage.note('b@1', 7000);
+		const targets = [target('a@1'), target('b@1'), target('c@1', 9500)];
+		const unusedFor = (item: KnownTarget) => usage.unusedFor(item, 10_000);
+		const {usable, inUse, unused} = measureCoverage({targets, unusedFor});
+		expect({usable, inUse}).toEqual({usable: 3, inUse: 2});
+		expect(unused.map(({incarnation}) => incarnation)).toEqual(['b@1']);
+	});
+
+	test('the floor is rounded up, so that the share never falls below it', () => {
+		expect(floorCount(0.7, 8)).toBe(6);
+		expect(floorCount(0.7, 1)).toBe(1);
+	});
+});
--- /dev/null
+++ b/packages/policy-routing/src/service-coverage.ts
@@ -0,0 +1,32 @@
+/**
+ * Compares the targets of a service that get requests with those that could, and says when the share
+ * falls below the floor of the service or recovers.
+ */
+import {type KnownTarget} from './target-directory.js';
+
+/** Milliseconds in which a target must have got a request to count as in use. */
+export const coverageWindow = 2000;
+
+export type Coverage = {
+	readonly usable: number;
+	readonly inUse: number;
+	/** Usable targets that are not in use. */
+	readonly unused: readonly KnownTarget[];
+};
+
+export type CoverageOptions = {
+	/** Usable targets of the service in failure domains that are in service. */
+	readonly targets: readonly KnownTarget[];
+	readonly unusedFor: (target: KnownTarget) => number;
+};
+
+/** Linear in the targets of the service. */
+export function measureCoverage({targets, unusedFor}: CoverageOptions): Coverage {
+	const unused = targets.filter(target => unusedFor(target) >= coverageWindow);
+	return {usable: targets.length, inUse: targets.length - unused.length, unused};
+}
+
+/** Targets that must stay in use. */
+export function floorCount(floor: number, targets: number): number {
+	return Math.ceil(floor * targets);
+}
--- a/packages/shallotctl/src/request-story.ts
+++ b/packages/shallotctl/src/request-story.ts
@@ -46,6 +46,8 @@
 	'certainty-lost',
 	'certainty-regained',
 	'connections-doubted',
+	'service-narrowed',
+	'service-widened',
 	'member-left',
 ]);
 
