--- /dev/null
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -0,0 +1,271 @@
+/**
+ * A fleet of routing services that choose targets and tell each other what they saw, without sockets
+ * and faster than time: the decisions and the reports are the real ones, callers and targets are
+ * modelled. Answers how the load of one service spreads over its targets.
+ */
+import {createLookupTables} from '@shallotpond/configuration/lookup-tables';
+import {documentSchema} from '@shallotpond/configuration/document-schema';
+import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
+import {createSeededRandom} from '@shallotpond/kernel/random';
+import {silentLog, type EventLog} from '@shallotpond/observability/event-log';
+import {createTargetDirectory} from '@shallotpond/policy-routing/target-directory';
+import {createTargetEvidence} from '@shallotpond/policy-routing/target-evidence';
+import {createFleetMember, type FleetMember} from '@shallotpond/policy-fleet/fleet-member';
+import {type FleetMessage} from '@shallotpond/policy-fleet/fleet-message';
+import {createSteerableClock} from '@shallotpond/testkit/steerable-clock';
+import {createRoutingService, type RoutingService} from '../routing-service.js';
+
+export type ModelTarget = {
+	readonly id: string;
+	readonly failureDomain: string;
+	/** Milliseconds of simulated time at which it is listed. */
+	readonly listedAt?: number;
+	/** Milliseconds for which it is cold from then on. */
+	readonly coldFor?: number;
+	/** How an attempt that begins now ends, and after how many milliseconds. */
+	readonly answer: (now: number) => {readonly result: AttemptResult; readonly latency: number};
+	/** Whether it has been sound for so long that it counts for the floor. */
+	readonly isSound: (now: number) => boolean;
+};
+
+export type FleetModelOptions = {
+	readonly failureDomains: readonly string[];
+	readonly instancesPerDomain: number;
+	readonly targets: readonly ModelTarget[];
+	/** Requests per second of the whole fleet, evenly spread over its instances. */
+	readonly rate: number;
+	readonly isIdempotent: boolean;
+	readonly isDownload?: boolean;
+	/** Milliseconds to play. */
+	readonly length: number;
+	readonly seed: number;
+	readonly log?: EventLog;
+};
+
+export type Attempt = {readonly target: string; readonly at: number; readonly result: string};
+
+export type CoverageSample = {
+	readonly at: number;
+	readonly sound: number;
+	/** Sound targets that got a request in the window before. */
+	readonly inUse: number;
+};
+
+export type FleetModelResult = {
+	readonly attempts: readonly Attempt[];
+	readonly samples: readonly CoverageSample[];
+};
+
+type ModelInstance = {
+	readonly address: string;
+	readonly routing: RoutingService;
+	readonly member: FleetMember;
+	readonly list: (target: ModelTarget, now: number) => void;
+};
+
+type Pending = {readonly at: number; readonly run: () => void};
+
+/** Milliseconds of one step of the model, and between two ticks of an instance. */
+const step = 10;
+const tickInterval = 20;
+const secondInterval = 1000;
+const sampleInterval = 100;
+/** Milliseconds in which a sound target must get a request, as the users' rule has it. */
+const window = 2000;
+const service = 'swaps';
+const objective = 1200;
+
+function createDocument(failureDomains: readonly string[], isDownload: boolean) {
+	return documentSchema.parse({
+		version: 1,
+		fleet: {maxInstances: 48},
+		failureDomains: Object.fromEntries(failureDomains.map(name => [name, {}])),
+		services: {[service]: {targets: [], slots: 4, floor: 0.7, coldRate: 10, coldTime: 3000}},
+		routes: [
+			{
+				id: service,
+				pathPrefix: '/',
+				service,
+				open: true,
+				latencyObjective: objective,
+				isDownload,
+			},
+		],
+		workspaces: {},
+	});
+}
+
+/** Deterministic for a seed. */
+export function playFleet(options: FleetModelOptions): FleetModelResult {
+	const {failureDomains, targets} = options;
+	const clock = createSteerableClock({start: 0});
+	const random = createSeededRandom(options.seed);
+	const document = createDocument(failureDomains, options.isDownload ?? false);
+	const tables = createLookupTables(document);
+	const pending: Pending[] = [];
+	const attempts: Attempt[] = [];
+	const samples: CoverageSample[] = [];
+	const lastAttemptAt = new Map<string, number>();
+
+	function createInstance(address: string, failureDomain: string): ModelInstance {
+		const directory = createTargetDirectory();
+		const routing = createRoutingService({
+			clock,
+			random,
+			log: options.log ?? silentLog,
+			failureDomain,
+			configuration: {
+				tables,
+				version: 1,
+				adopt: () => undefined,
+				confirm: () => undefined,
+				confirmedAgo: () => 0,
+				coldTimeOf: () => 3000,
+				isUncertain: () => false,
+			},
+			directory,
+			evidence: createTargetEvidence(),
+			onFailure() {
+				member.hasten();
+			},
+			onLoadChange() {
+				member.noteLoad();
+			},
+		});
+		const member = createFleetMember({
+			self: {address, failureDomain, startedAt: 0},
+			seeds: () => ['north-0'],
+			random,
+			takeContent: () => ({
+				targets: routing.takeReport(),
+				inFlight: routing.inFlight(),
+				workspaces: new Map(),
+				crashes: [],
+				configuration: {version: 1, revision: 1, confirmedAgo: 0},
+				isLeaving: false,
+			}),
+			onTargets: routing.merge,
+			onLoad: routing.noteLoad,
+			onUsage: () => undefined,
+			onCrashes: () => undefined,
+			onConfiguration: () => undefined,
+		});
+		return {
+			address,
+			routing,
+			member,
+			list(target, now) {
+				directory.list(
+					{
+						id: target.id,
+						bornAt: 1,
+						service,
+						address: `10.0.0.1:${8000 + targets.indexOf(target)}`,
+						failureDomain: target.failureDomain,
+						slots: 4,
+						state: 'ready',
+						coldFor: target.coldFor ?? 0,
+					},
+					now,
+				);
+			},
+		};
+	}
+
+	const instances = failureDomains.flatMap(domain =>
+		Array.from({length: options.instancesPerDomain}, (_, index) =>
+			createInstance(`${domain}-${index}`, domain),
+		),
+	);
+	const byAddress = new Map(instances.map(instance => [instance.address, instance]));
+
+	function send(outgoing: ReadonlyArray<{readonly to: string; readonly message: FleetMessage}>) {
+		for (const {to, message} of outgoing) {
+			pending.push({
+				at: clock.monotonic() + step,
+				run() {
+					send(byAddress.get(to)!.member.receive(message, clock.monotonic()));
+				},
+			});
+		}
+	}
+
+	function request(instance: ModelInstance): void {
+		const now = clock.monotonic();
+		const grant = instance.routing.acquire({
+			workspace: 'w',
+			deadline: Number.POSITIVE_INFINITY,
+			signal: new AbortController().signal,
+			service,
+			route: document.routes[0]!,
+			isIdempotent: options.isIdempotent,
+			excludedTargets: [],
+			avoidedFailureDomains: [],
+		});
+		if (grant.kind === 'refused') {
+			return;
+		}
+
+		const target = targets.find(({id}) => id === grant.target.id)!;
+		const {result, latency} = target.answer(now);
+		lastAttemptAt.set(target.id, now);
+		attempts.push({target: target.id, at: now, result});
+		pending.push({
+			at: now + latency,
+			run() {
+				grant.release({result, latency, slotTime: latency});
+			},
+		});
+	}
+
+	function sample(now: number): void {
+		const sound = targets.filter(target => target.isSound(now));
+		const inUse = sound.filter(({id}) => now - (lastAttemptAt.get(id) ?? -window) < window);
+		samples.push({at: now, sound: sound.length, inUse: inUse.length});
+	}
+
+	function runPending(now: number): void {
+		const due = pending.filter(({at}) => at <= now);
+		const later = pending.filter(({at}) => at > now);
+		pending.length = 0;
+		pending.push(...later);
+		for (const {run} of due) {
+			run();
+		}
+	}
+
+	let nextRequestAt = 0;
+	for (let now = 0; now < options.length; now += step) {
+		clock.advance(step);
+		runPending(now);
+		for (const target of targets) {
+			const listedAt = target.listedAt ?? 0;
+			if (listedAt <= now && now < listedAt + step) {
+				for (const instance of instances) {
+					instance.list(target, clock.monotonic());
+				}
+			}
+		}
+
+		for (; nextRequestAt <= now; nextRequestAt -= (Math.log(1 - random()) / options.rate) * 1000) {
+			request(instances[Math.floor(random() * instances.length)]!);
+		}
+
+		for (const [index, {member, routing}] of instances.entries()) {
+			if ((now + index * step) % tickInterval === 0) {
+				send(member.tick(clock.monotonic()));
+			}
+
+			if (now % secondInterval === 0) {
+				routing.prune(clock.monotonic());
+				routing.watchCoverage(clock.monotonic());
+			}
+		}
+
+		if (now % sampleInterval === 0) {
+			sample(clock.monotonic());
+		}
+	}
+
+	return {attempts, samples};
+}
