Let beliefs about targets that nobody asks fade in the choice, and keep the floor

Cause: what an instance believes of a target (risk, slowness, busyness, cold) changes only with requests to it, and it keeps requests away, so the belief keeps itself up. A target that had failed for a second was left out for about eight, one without news got a tenth of the requests of a proven one, and nothing compared what was left with the floor of the service.

Change: the loss from beliefs shrinks by 0.075 a second while no instance asks the target, so one without news is tried after about a second and one that failed after about four. Below the floor the least suspected of the targets unused for 2 s are tried in any case.

--- a/packages/gateway/src/__tests__/service-floor.test.ts
+++ b/packages/gateway/src/__tests__/service-floor.test.ts
@@ -146,4 +146,24 @@
 		// Targets that a fault from outside has hit count again after 6 s.
 		expect(narrowShare(samples, from + 6000 + 6000 + 2000)).toBe(0);
 	});
+
+	test('a target that fails everything is tried every few seconds only', () => {
+		const length = 2 * minute;
+		const {attempts} = playFleet({
+			failureDomains,
+			instancesPerDomain: 2,
+			targets: createTargets({
+				count: 15,
+				seed: 5,
+				episodesOf: index => (index === 0 ? [{from: 0, to: length, share: 1}] : []),
+			}),
+			rate: 61,
+			isIdempotent: false,
+			length,
+			seed: 5,
+		});
+		const failed = attempts.filter(({target, at}) => target === 't0' && at > settled);
+		// A sound one gets 4 a second.
+		expect(failed.length).toBeLessThan((length - settled) / 2000);
+	});
 });
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -172,6 +172,7 @@
 		random,
 		conditionOf: (target, now) => evidence.conditionOf(target.incarnation, target.service, now),
 		inFlight: loadAt,
+		unusedFor: usage.unusedFor,
 		hasConnection: ({incarnation}, now) =>
 			!inFlight.has(incarnation) &&
 			now - (servedAt.get(incarnation) ?? Number.NEGATIVE_INFINITY) < connectionLife,
@@ -393,6 +394,7 @@
 				excluded: request.excludedTargets,
 				isIdempotent: request.isIdempotent,
 				answerBytes: answerBytesByKind[request.route.isDownload === true ? 'download' : 'other'],
+				floor: configuration.tables?.document.services[request.service]?.floor ?? 0,
 				now,
 			});
 			return target === undefined
--- a/packages/policy-routing/src/__tests__/fleet-load.test.ts
+++ b/packages/policy-routing/src/__tests__/fleet-load.test.ts
@@ -63,6 +63,7 @@
 			failureDomain: 'north',
 			conditionOf: () => ({failureRisk: 0.03, slowness: 1, busyness: 0, isUnreachable: false}),
 			inFlight: ({incarnation}) => (own.get(incarnation) ?? 0) + known[from]!.at(incarnation, now),
+			unusedFor: () => 0,
 			hasConnection: () => true,
 			isOpen: () => true,
 			coldShare: () => 1,
@@ -74,6 +75,7 @@
 			excluded: [],
 			isIdempotent: false,
 			answerBytes: 1000,
+			floor: 0,
 			now,
 		})!;
 		requests++;
--- a/packages/policy-routing/src/__tests__/target-choice.test.ts
+++ b/packages/policy-routing/src/__tests__/target-choice.test.ts
@@ -27,6 +27,7 @@
 		failureDomain: 'near',
 		conditionOf: () => sound,
 		inFlight: () => 0,
+		unusedFor: () => 0,
 		hasConnection: () => false,
 		isOpen: () => true,
 		coldShare: () => 0.1,
@@ -41,6 +42,7 @@
 			excluded: [],
 			isIdempotent: false,
 			answerBytes: 2000,
+			floor: 0.7,
 			now: 1000,
 		});
 		const name = chosen?.definition.id ?? 'none';
@@ -59,6 +61,48 @@
 		expect(counts.sick ?? 0).toBeLessThan(10);
 	});
 
+	test('a target without news is tried soon, though proven ones are at hand', () => {
+		const candidates = [target('unproven'), target('a'), target('b')];
+		const options = (unusedFor: number): Partial<TargetChoiceOptions> => ({
+			conditionOf: ({definition}) =>
+				definition.id === 'unproven'
+					? {...sound, failureRisk: 0.061}
+					: {...sound, failureRisk: 0.013},
+			unusedFor: ({definition}) => (definition.id === 'unproven' ? unusedFor : 0),
+		});
+		expect(count(candidates, options(200)).unproven ?? 0).toBeLessThan(100);
+		expect(count(candidates, options(1500)).unproven).toBeGreaterThan(300);
+	});
+
+	test('a target that failed moments ago is not tried while the floor is kept', () => {
+		const candidates = ['sick', 'a', 'b', 'c', 'd'].map(id => target(id));
+		const counts = count(candidates, {
+			conditionOf: ({definition}) =>
+				definition.id === 'sick' ? {...sound, failureRisk: 0.5} : sound,
+			unusedFor: ({definition}) => (definition.id === 'sick' ? 2500 : 0),
+		});
+		expect(counts.sick ?? 0).toBeLessThan(10);
+	});
+
+	test('below the floor the least suspected of the unused targets are tried', () => {
+		const candidates = ['worst', 'bad', 'used'].map(id => target(id));
+		const risks: Record<string, number> = {worst: 0.7, bad: 0.6, used: 0.02};
+		const counts = count(candidates, {
+			conditionOf: ({definition}) => ({...sound, failureRisk: risks[definition.id]!}),
+			unusedFor: ({definition}) => (definition.id === 'used' ? 0 : 2500),
+			// With three targets the floor asks for all of them.
+			random: createSeededRandom(3),
+		});
+		expect(counts.bad).toBeGreaterThan(300);
+		expect(counts.worst).toBeGreaterThan(300);
+		const half = count([...candidates, target('used too')], {
+			conditionOf: ({definition}) => ({...sound, failureRisk: risks[definition.id] ?? 0.02}),
+			unusedFor: ({definition}) => (definition.id.startsWith('used') ? 0 : 2500),
+		});
+		expect(half.bad).toBeGreaterThan(300);
+		expect(half.worst ?? 0).toBeLessThan(10);
+	});
+
 	test('targets that are alike share the load, so that instances do not all pick the same one', () => {
 		const counts = count([target('a'), target('b'), target('c')]);
 		expect(Math.min(counts.a!, counts.b!, counts.c!)).toBeGreaterThan(250);
--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -3,8 +3,16 @@
  * fails, the wait behind other requests, the detour to another failure domain, a cold or slow
  * start. The choice is drawn with weights that fall with the loss, because instances that all took
  * the best target would overload it together.
+ *
+ * What is believed of a target changes only with requests to it, so a belief that keeps requests away
+ * would keep itself up while the load narrows to the targets that proved themselves. The loss from
+ * beliefs therefore shrinks while nobody asks the target: one without news is tried within about a
+ * second, one that failed after some seconds. Below the floor of the service the least suspected of
+ * the unused targets are tried whatever is believed of them, because failures of so many at once
+ * mostly have a cause outside of them.
  */
 import {type Random} from '@shallotpond/kernel/random';
+import {coverageWindow, floorCount} from './service-coverage.js';
 import {type KnownTarget} from './target-directory.js';
 import {type TargetCondition} from './target-evidence.js';
 
@@ -16,6 +24,8 @@
 	readonly isIdempotent: boolean;
 	/** Expected bytes of the answer. */
 	readonly answerBytes: number;
+	/** Part of the open targets that must stay in use, 0 to 1. */
+	readonly floor: number;
 	readonly now: number;
 };
 
@@ -25,6 +35,8 @@
 	readonly conditionOf: (target: KnownTarget, now: number) => TargetCondition;
 	/** Requests at the target now, as far as this instance knows. */
 	readonly inFlight: (target: KnownTarget, now: number) => number;
+	/** Milliseconds since any instance sent the target a request. */
+	readonly unusedFor: (target: KnownTarget, now: number) => number;
 	/** Whether a connection to the target is likely to be open, which also proves the path. */
 	readonly hasConnection: (target: KnownTarget, now: number) => boolean;
 	/** Whether the target may get work: its failure domain is in service. */
@@ -68,6 +80,26 @@
 /** The loss by which the weight of a candidate falls to 1/e. */
 const temperature = 0.03;
 
+/** How the loss from beliefs shrinks at a target that gets no requests. */
+const curiosity = {
+	/** Milliseconds without a request that are usual for a target of a service with few requests. */
+	from: 300,
+	/** Loss for each millisecond after that. */
+	rate: 0.075 / 1000,
+	/** The least that is left; below 0 an unused target goes before those in use. */
+	least: -0.05,
+} as const;
+
+type Candidate = {
+	readonly target: KnownTarget;
+	/** Milliseconds. */
+	readonly unusedFor: number;
+	/** Loss that only news of the target can change. */
+	readonly believedLoss: number;
+	/** Loss from where the target is and what it has to do now. */
+	readonly placementLoss: number;
+};
+
 export function createTargetChoice(options: TargetChoiceOptions): TargetChoice {
 	const {failureDomain, conditionOf, inFlight, random} = options;
 
@@ -88,31 +120,55 @@
 		);
 	}
 
-	function lossOf(target: KnownTarget, request: ChoiceRequest): number {
-		const {now} = request;
-		const condition = conditionOf(target, now);
+	function believedLoss(target: KnownTarget, condition: TargetCondition, request: ChoiceRequest) {
 		const failureLoss = request.isIdempotent ? losses.failure.repeatable : losses.failure.once;
 		return (
 			condition.failureRisk * failureLoss +
 			Math.max(0, condition.slowness - 1) * losses.slowness +
 			condition.busyness * losses.busy +
-			(condition.isUnreachable ? losses.unreachable : 0) +
-			(target.coldUntil > now ? losses.cold : 0) +
-			waitingLoss(target, now) +
-			(options.hasConnection(target, now) ? 0 : losses.connection) +
-			domainLoss(target, request.answerBytes)
+			(target.coldUntil > request.now ? losses.cold : 0)
 		);
 	}
 
+	function examine(target: KnownTarget, request: ChoiceRequest): Candidate {
+		const {now} = request;
+		const condition = conditionOf(target, now);
+		return {
+			target,
+			unusedFor: options.unusedFor(target, now),
+			believedLoss: believedLoss(target, condition, request),
+			placementLoss:
+				(condition.isUnreachable ? losses.unreachable : 0) +
+				waitingLoss(target, now) +
+				(options.hasConnection(target, now) ? 0 : losses.connection) +
+				domainLoss(target, request.answerBytes),
+		};
+	}
+
+	/** The targets that must be tried to keep the floor. Sorts only while the floor is not kept. */
+	function neededForFloor(candidates: readonly Candidate[], floor: number): Set<Candidate> {
+		const unused = candidates.filter(({unusedFor}) => unusedFor >= coverageWindow);
+		const missing = floorCount(floor, candidates.length) - (candidates.length - unused.length);
+		return missing <= 0
+			? new Set()
+			: new Set(unused.sort((a, b) => a.believedLoss - b.believedLoss).slice(0, missing));
+	}
+
+	function lossOf(candidate: Candidate, isNeeded: boolean): number {
+		const {unusedFor, placementLoss} = candidate;
+		const shrinkage = Math.max(0, unusedFor - curiosity.from) * curiosity.rate;
+		const belief = isNeeded
+			? curiosity.least
+			: Math.max(curiosity.least, candidate.believedLoss - shrinkage);
+		return belief + placementLoss;
+	}
+
 	/**
 	 * Cold targets are left out of most choices, so that the whole fleet stays below what they bear.
 	 * Where only cold ones are left, a part of the requests gets none.
 	 */
-	function admitted(request: ChoiceRequest): KnownTarget[] {
+	function admitted(open: readonly KnownTarget[], request: ChoiceRequest): readonly KnownTarget[] {
 		const {service, now} = request;
-		const open = request.candidates.filter(
-			target => options.isOpen(target) && !request.excluded.includes(target.definition.id),
-		);
 		const warm = open.filter(target => target.coldUntil <= now);
 		if (warm.length === open.length) {
 			return warm;
@@ -128,12 +184,17 @@
 
 	return {
 		choose(request) {
-			const targets = admitted(request);
+			const open = request.candidates.filter(
+				target => options.isOpen(target) && !request.excluded.includes(target.definition.id),
+			);
+			const targets = admitted(open, request);
 			if (targets.length === 0) {
 				return undefined;
 			}
 
-			const targetLosses = targets.map(target => lossOf(target, request));
+			const candidates = targets.map(target => examine(target, request));
+			const needed = neededForFloor(candidates, request.floor);
+			const targetLosses = candidates.map(candidate => lossOf(candidate, needed.has(candidate)));
 			const least = Math.min(...targetLosses);
 			const weights = targetLosses.map(loss => Math.exp((least - loss) / temperature));
 			const total = weights.reduce((sum, weight) => sum + weight, 0);
