End answers whose bytes never end, and take no unsealed success

Interim answers without end were given up by the patience of the attempt only. Endless heads were ended before by the limit on the size of a head.

A success without the target's seal, or with an encoded body, is no answer of a target and is tried again where that is allowed. Ruled out: calls to the store, whose answers have a limit of bytes and time.

--- a/packages/configuration/src/document-schema.ts
+++ b/packages/configuration/src/document-schema.ts
@@ -98,6 +98,8 @@
 	timeout: milliseconds(1, longestTimeout).default(10_000),
 	/** Longest silence inside the body of an answer before it counts as stalled. */
 	stallTimeout: milliseconds(1, longestTimeout).default(5000),
+	/** Time for the whole answer, body included; without it only silence ends an answer. */
+	answerTimeout: milliseconds(1, longestTimeout).optional(),
 	/** Methods that may run more than once. */
 	idempotentMethods: z
 		.array(z.string().regex(/^[A-Z]+$/))
--- /dev/null
+++ b/packages/io-http/src/__tests__/endless-answers.test.ts
@@ -0,0 +1,136 @@
+/** Targets that send bytes without end, in every place of an answer, until the proxy closes. */
+import http from 'node:http';
+import {afterEach, expect, test} from '@jest/globals';
+import {defaultHttpLimits} from '../http-limits.js';
+import {createFixture, key, send, until, type Fixture, type FixtureOptions} from './support.js';
+
+let fixture: Fixture;
+
+const timeout = 1000;
+const route = {
+	id: 'main',
+	pathPrefix: '/',
+	service: 'roster',
+	timeout,
+	stallTimeout: timeout,
+	answerTimeout: timeout,
+};
+
+async function start(options?: FixtureOptions): Promise<void> {
+	fixture = await createFixture({targets: 2, routes: [route], ...options});
+}
+
+afterEach(async () => {
+	await fixture.stop();
+	expect(fixture.state.openGrants).toBe(0);
+	expect(fixture.state.internalErrors).toEqual([]);
+});
+
+const chunk = '4000\r\n' + 'x'.repeat(16_384) + '\r\n';
+const chunkedHead = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+test.each([
+	['header lines', 'HTTP/1.1 200 OK\r\n', 'X-More: more\r\n'],
+	['one header line', 'HTTP/1.1 200 OK\r\nX-Long: ', 'x'],
+	['a status line', 'HTTP/1.1 200 ', 'x'],
+	['bytes that are no answer', '', '\u0000\u0001garbage'],
+	['interim answers', '', 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'],
+	['interim answers that say go on', '', 'HTTP/1.1 100 Continue\r\n\r\n'],
+])('a head that never ends (%s) is given up and replaced', async (_what, head, piece) => {
+	await start();
+	fixture.target.behaveOnce({kind: 'endless', head, piece});
+	const answer = await send(fixture);
+	expect(answer.status).toBe(200);
+	await until(() => fixture.target.openConnections === 0);
+	expect(fixture.state.outcomes[0]!.result).not.toBe('ok');
+	// It is given up because of what came, not because the time was up.
+	expect(fixture.clock.monotonic()).toBeLessThan(timeout * defaultHttpLimits.attemptShare);
+});
+
+/** Sends a request that may run once only, and drops the bytes of its answer. */
+async function seemsWhole(): Promise<boolean> {
+	return new Promise(resolve => {
+		const request = http.request({
+			host: '127.0.0.1',
+			port: fixture.listener.port,
+			method: 'POST',
+			agent: false,
+			headers: {'x-api-key': key},
+		});
+		request.on('error', () => {
+			resolve(false);
+		});
+		request.on('response', answer => {
+			answer.resume();
+			answer.on('error', () => undefined);
+			answer.on('close', () => {
+				resolve(answer.statusCode === 200 && answer.complete);
+			});
+		});
+		request.end();
+	});
+}
+
+test.each([
+	['in chunks', chunkedHead, chunk],
+	['without a length', 'HTTP/1.1 200 OK\r\n\r\n', 'x'],
+	['with a huge length', 'HTTP/1.1 200 OK\r\nContent-Length: 900000000000000\r\n\r\n', 'x'],
+	['in the extension of a chunk', chunkedHead + '5;', 'x'],
+	['in the trailers', chunkedHead + chunk + '0\r\n', 'X-More: more\r\n'],
+])('a body that never ends (%s) is cut, and never looks complete', async (_what, head, piece) => {
+	await start();
+	fixture.target.behave({kind: 'endless', head, piece});
+	expect(await seemsWhole()).toBe(false);
+	await until(() => fixture.target.openConnections === 0);
+	expect(fixture.state.outcomes[0]!.result).not.toBe('ok');
+});
+
+test('the body of a failure that another try replaces is not read without end', async () => {
+	await start();
+	fixture.target.behaveOnce({
+		kind: 'endless',
+		head: 'HTTP/1.1 500 Broken\r\nTransfer-Encoding: chunked\r\n\r\n',
+		piece: chunk,
+	});
+	expect((await send(fixture)).status).toBe(200);
+	await until(() => fixture.target.openConnections === 0);
+});
+
+test('the connection of a failure with a short body is used again', async () => {
+	await start({targets: 2});
+	fixture.target.behaveOnce({kind: 'answer', status: 500, body: 'broken'});
+	expect((await send(fixture)).status).toBe(200);
+	await until(() => fixture.state.openGrants === 0);
+	expect((await send(fixture)).status).toBe(200);
+	expect(fixture.target.connections).toBe(1);
+});
+
+test.each([
+	['an answer without a body', 'HTTP/1.1 204 No Content\r\n\r\n'],
+	['a whole answer', 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'],
+])('bytes after %s reach no caller and close the connection', async (_what, head) => {
+	await start();
+	fixture.target.behaveOnce({kind: 'endless', head, piece: 'HTTP/1.1 200 OK\r\n\r\nother'});
+	const first = await send(fixture);
+	expect(first.body).toBe(first.status === 204 ? '' : 'ok');
+	await until(() => fixture.target.openConnections === 0);
+});
+
+test('a caller that reads slowly does not keep an endless answer beyond its time', async () => {
+	await start();
+	fixture.target.behave({kind: 'endless', head: chunkedHead, piece: chunk});
+	const request = http.get({
+		host: '127.0.0.1',
+		port: fixture.listener.port,
+		agent: false,
+		headers: {'x-api-key': key},
+	});
+	request.on('error', () => undefined);
+	request.on('response', answer => {
+		answer.on('error', () => undefined);
+		answer.pause();
+	});
+	await until(() => fixture.target.connections > 0);
+	await until(() => fixture.target.openConnections === 0);
+	request.destroy();
+});
--- a/packages/io-http/src/answer-pump.ts
+++ b/packages/io-http/src/answer-pump.ts
@@ -19,6 +19,8 @@
 	| 'cut'
 	/** The target sent nothing for too long. */
 	| 'stalled'
+	/** The target was still sending when the time for the whole answer was up. */
+	| 'overdue'
 	/** One of the signals, or a caller that takes no bytes. */
 	| 'cancelled';
 
@@ -36,6 +38,8 @@
 	readonly exactBytes: number | undefined;
 	/** Longest silence of the target, milliseconds. */
 	readonly stallTimeout: number;
+	/** Milliseconds left for the whole answer; undefined for any time. */
+	readonly timeLeft: number | undefined;
 	/** Longest time in which the caller takes nothing, milliseconds. */
 	readonly callerStallTimeout: number;
 	readonly signals: readonly StopSignal[];
@@ -63,6 +67,13 @@
 		});
 		/** Most answers fit into the buffers of the connection and never need this timer. */
 		let callerTimer: SilenceTimer | undefined;
+		const cancelTotal =
+			options.timeLeft === undefined
+				? undefined
+				: clock.after(Math.max(0, options.timeLeft), () => {
+						// A caller that reads too slowly is no fault of the target.
+						finish(answer.isPaused() ? 'cancelled' : 'overdue');
+					});
 		let stopListening: () => void = () => undefined;
 
 		function finish(end: PumpEnd): void {
@@ -73,6 +84,7 @@
 			isDone = true;
 			targetTimer.stop();
 			callerTimer?.stop();
+			cancelTotal?.();
 			stopListening();
 			answer.off('data', receive).off('end', complete).off('close', cut);
 			response.off('drain', goOn);
--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -16,6 +16,9 @@
 import {type StopSignal} from './stop-signal.js';
 import {type TargetConnections} from './target-connections.js';
 
+/** A target sends one or two interim answers (1xx) at most before the one that counts. */
+const mostInterimAnswers = 8;
+
 export type AttemptOptions = {
 	readonly clock: Clock;
 	readonly connections: TargetConnections;
@@ -95,6 +98,7 @@
 		let isSettled = false;
 		let wasWritten = false;
 		let idleBefore: number | undefined;
+		let interimAnswers = 0;
 		const requestOptions = connections.optionsFor(target, service);
 		requestOptions.method = options.method;
 		requestOptions.path = options.path;
@@ -167,6 +171,12 @@
 		});
 		request.on('error', failBroken);
 		request.on('close', failBroken);
+		request.on('information', () => {
+			interimAnswers++;
+			if (interimAnswers > mostInterimAnswers) {
+				fail('incomplete');
+			}
+		});
 		request.on('upgrade', (_answer, socket) => {
 			socket.destroy();
 			fail('incomplete');
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -29,6 +29,7 @@
 import {pumpAnswer, type PumpResult} from './answer-pump.js';
 import {startAttempt, type AttemptAnswer, type AttemptFailure} from './attempt.js';
 import {type Cancellation} from './cancellation.js';
+import {drainAnswer} from './answer-drain.js';
 import {createCallerHeaders} from './forwarded-headers.js';
 import {type HttpCounters} from './http-counters.js';
 import {type HttpLimits} from './http-limits.js';
@@ -75,6 +76,8 @@
 	readonly startBefore: number | undefined;
 	/** Monotonic milliseconds until which the head of an answer must have come. */
 	readonly deadline: number;
+	/** The same until which the whole answer must have come; undefined for any time. */
+	readonly answerDeadline: number | undefined;
 	readonly cancellation: Cancellation;
 	readonly span: RequestSpan;
 	readonly response: ServerResponse;
@@ -146,6 +149,14 @@
 	return {kind: 'setback', code: failureCodes[failure.result] ?? 'cancelled', runState};
 }
 
+type RefusedAnswer = {readonly result: AttemptResult; readonly setback: Setback};
+
+/** The answer is not one to this request. */
+const foreignAnswer: RefusedAnswer = {
+	result: 'incomplete',
+	setback: {kind: 'setback', code: 'incomplete-answer', runState: 'may-have-run'},
+};
+
 function resetWith(reason: string, outcome: RunState): ForwardResult {
 	return {kind: 'reset', reason, outcome};
 }
@@ -312,15 +323,10 @@
 		request: ForwardedRequest,
 		progress: Progress,
 		answer: IncomingMessage,
-	): {readonly result: AttemptResult; readonly setback: Setback} | undefined {
+	): RefusedAnswer | undefined {
+		// Where it is the answer to an earlier request, nothing is known of this one.
 		if (!answersRequest(answer, dialect.requestIdHeader, request.id)) {
-			// The answer to an earlier request; nothing is known of this one.
-			const setback: Setback = {
-				kind: 'setback',
-				code: 'incomplete-answer',
-				runState: 'may-have-run',
-			};
-			return {result: 'incomplete', setback};
+			return foreignAnswer;
 		}
 
 		const shed = dialect.readShed(answer);
@@ -334,6 +340,10 @@
 			return {result: shed.isMisdirected ? 'misdirected' : 'shed', setback};
 		}
 
+		if (dialect.isGenuine?.(answer) === false) {
+			return foreignAnswer;
+		}
+
 		const {download, received} = progress;
 		const isExpected =
 			download === undefined
@@ -380,6 +390,10 @@
 			smallestBody,
 			exactBytes: download === undefined ? undefined : readRest(answer, download, received),
 			stallTimeout: route.stallTimeout,
+			timeLeft:
+				request.answerDeadline === undefined
+					? undefined
+					: request.answerDeadline - clock.monotonic(),
 			callerStallTimeout: limits.callerStallTimeout,
 			signals: [request.cancellation.signal, grant.signal],
 			endsWithConnection: isUnframed,
@@ -493,7 +507,7 @@
 
 		const failure = replaceFailure(request, progress, answer);
 		if (failure !== undefined) {
-			answer.resume();
+			drainAnswer({clock, answer, destroy: attempt.destroy});
 			release(progress, grant, times, 'error');
 			hop.end('error');
 			return failure;
--- a/packages/io-http/src/request-dialect.ts
+++ b/packages/io-http/src/request-dialect.ts
@@ -35,6 +35,8 @@
 	readonly notRunStatus?: number;
 	/** Statuses that promise that the request did not run; a problem after a run must not use them. */
 	readonly promisingStatuses?: ReadonlySet<number>;
+	/** Whether the head is one that a target writes; without it every head counts as such. */
+	isGenuine?(answer: IncomingMessage): boolean;
 	/** Undefined where the answer does not prove that the request did not run. */
 	readShed(answer: IncomingMessage): ShedAnswer | undefined;
 	/** Value of `Retry-After`. */
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -12,7 +12,7 @@
 import {containsKey, findCallerKey, removeKeyParameter} from './caller-key.js';
 import {type Cancellation} from './cancellation.js';
 import {createTargetHeaders} from './forwarded-headers.js';
-import {type ForwardResult, type Forwarder} from './forwarder.js';
+import {type ForwardedRequest, type ForwardResult, type Forwarder} from './forwarder.js';
 import {type HttpLimits} from './http-limits.js';
 import {type KeyWatch} from './key-watch.js';
 import {
@@ -65,6 +65,9 @@
 	readonly path: string;
 };
 
+/** Monotonic milliseconds, for the head and for the whole of an answer. */
+type Deadlines = Pick<ForwardedRequest, 'deadline' | 'answerDeadline'>;
+
 /** Milliseconds; how soon an instance may be ready or reachable again. */
 const notReadyRetryAfter = 300;
 
@@ -193,11 +196,16 @@
 		return refuse(code, retryAfter);
 	}
 
-	function deadlineOf(request: IncomingMessage, route: RouteDefinition): number {
+	function deadlinesOf(request: IncomingMessage, route: RouteDefinition): Deadlines {
 		const asked = request.headers[dialect.deadlineHeader];
 		const isNumber = typeof asked === 'string' && /^\d{1,9}$/.test(asked);
 		const timeout = isNumber ? Math.min(Number(asked), route.timeout) : route.timeout;
-		return clock.monotonic() + timeout;
+		const now = clock.monotonic();
+		const {answerTimeout} = route;
+		return {
+			deadline: now + timeout,
+			answerDeadline: answerTimeout === undefined ? undefined : now + answerTimeout,
+		};
 	}
 
 	function targetHeaders(request: IncomingMessage, key: string | undefined): string[] {
@@ -271,7 +279,7 @@
 	async function forward(
 		received: ReceivedRequest,
 		authorized: AuthorizedRequest,
-		deadline: number,
+		{deadline, answerDeadline}: Deadlines,
 		span: RequestSpan,
 	): Promise<ForwardResult> {
 		const problem = await admit(received, authorized, deadline, span);
@@ -308,6 +316,7 @@
 				fingerprint,
 				startBefore: claimed?.startBefore,
 				deadline,
+				answerDeadline,
 				cancellation,
 				span,
 				response,
@@ -357,7 +366,7 @@
 				stopWatching?.();
 				span.end(response.writableFinished ? response.statusCode : 0);
 			});
-			return forward(received, authorized, deadlineOf(request, route), span);
+			return forward(received, authorized, deadlinesOf(request, route), span);
 		},
 	};
 }
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -8,6 +8,8 @@
 const millisecondsPerSecond = 1000;
 /** Callers read fractions of a second. */
 const retryAfterDigits = 3;
+const lowestSuccess = 200;
+const lowestRedirect = 300;
 /** Promises the caller that the request did not run. */
 const notRunStatus = 503;
 const promisingStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -29,6 +31,14 @@
 	acceptsUnframed: true,
 	notRunStatus,
 	promisingStatuses,
+	isGenuine({statusCode, headers}) {
+		const isSuccess = statusCode! >= lowestSuccess && statusCode! < lowestRedirect;
+		// Targets seal every success and never encode a body.
+		return (
+			!isSuccess ||
+			(headers[headerNames.responseSeal] !== undefined && headers['content-encoding'] === undefined)
+		);
+	},
 	readShed(answer) {
 		const isMisdirected = answer.statusCode === misdirectedStatus;
 		if (!isMisdirected && answer.headers[headerNames.notExecuted] === undefined) {
--- a/packages/platform/src/store-entries.ts
+++ b/packages/platform/src/store-entries.ts
@@ -34,6 +34,8 @@
 /** Instances assumed before each target when idle connections are divided. */
 const assumedInstances = 48;
 const millisecondsPerSecond = 1000;
+/** Milliseconds beyond the route's timeout; the platform counts an answer as held after 250. */
+const answerReserve = 200;
 const states: Readonly<Record<string, ListedTarget['state']>> = {
 	ready: 'ready',
 	draining: 'leaving',
@@ -138,8 +140,9 @@
 		attempts: toOptionalNumber(route.max_attempts),
 		open: route.public === true || !hasWorkspaces,
 		timeout,
-		// The route's timeout covers the whole answer.
+		// The route's timeout covers the whole answer, whose last bytes may be under way when it ends.
 		stallTimeout: timeout,
+		answerTimeout: timeout + answerReserve,
 		idempotentMethods: repeatableKinds.has(kind) ? allMethods : [],
 		expectation: {smallestBody: 0, contentTypes: []},
 		largestRequestBody: Number.MAX_SAFE_INTEGER,
--- a/packages/testkit/src/stand-in-target.ts
+++ b/packages/testkit/src/stand-in-target.ts
@@ -27,6 +27,8 @@
 	| {readonly kind: 'blank'}
 	/** Writes these bytes to the connection as they are; then closes it where `ends` is set. */
 	| {readonly kind: 'raw'; readonly bytes: string; readonly ends?: boolean}
+	/** Writes `head` and then `piece` again and again until the connection closes. */
+	| {readonly kind: 'endless'; readonly head: string; readonly piece: string}
 	/** Waits until `release` of the target is called, then echoes. */
 	| {readonly kind: 'wait'}
 	/** A big file of repeated bytes with `ETag` and `Range`. */
@@ -101,6 +103,9 @@
 	return Number(/^bytes=(?<first>\d+)-$/.exec(range ?? '')?.groups?.first ?? 0);
 }
 
+/** Bytes of one write of an endless answer. */
+const endlessWrite = 16_384;
+
 type FileBehaviour = Extract<TargetBehaviour, {kind: 'file'}>;
 
 function sendFile(request: IncomingMessage, response: ServerResponse, file: FileBehaviour): void {
@@ -196,6 +201,18 @@
 				request.socket.end();
 			}
 		},
+		endless({head, piece}, {request: {socket}}) {
+			socket.write(head, 'latin1');
+			const pieces = Buffer.from(piece.repeat(Math.ceil(endlessWrite / piece.length)), 'latin1');
+			function go(): void {
+				while (!socket.destroyed && socket.write(pieces)) {
+					// Goes on until the connection takes no more for now.
+				}
+			}
+
+			socket.on('drain', go);
+			go();
+		},
 		wait(_behaviour, {received, response}) {
 			waiting.push(() => {
 				echo(received, response);
