Count the first admissions of a workspace that another instance reports

Cause of what was found: an instance took the first total of a workspace from each member for its whole life and counted none of it, also where the member had just admitted its first requests.

Change: a total carries what the sender said last, and the difference counts, so the first requests count and those from before the start of the receiver do not. The older test expected 3 of 4 admissions to be heard, which was this fault; it expects 4 now, and a new test covers a receiver that starts later. Both fail on the code before (3 for 4, 2 for 52). Ruled out: retries, which the rule does not count.

--- a/packages/io-fleet/src/__tests__/fleet-codec.test.ts
+++ b/packages/io-fleet/src/__tests__/fleet-codec.test.ts
@@ -14,7 +14,7 @@
 		configuration: {version: 12, revision: 340, confirmedAgo: 250},
 		targets: [{incarnation: 'i-1@5', good: 3, bad: 1, busy: 2, stale: 1, latency: 640}],
 		inFlight: [['i-1@5', 2]],
-		workspaces: [{workspace: 'reed', asked: 21, admitted: 17}],
+		workspaces: [{workspace: 'reed', asked: 21, admitted: 17, before: {asked: 18, admitted: 15}}],
 		crashes: [{fingerprint: 'a1b2', target: 'i-1'}],
 		isLeaving: false,
 	},
--- a/packages/io-fleet/src/fleet-codec.ts
+++ b/packages/io-fleet/src/fleet-codec.ts
@@ -9,7 +9,7 @@
 const packr = new Packr({useRecords: false});
 
 /** First element of every message; another number is another version of this format. */
-const formatVersion = 2;
+const formatVersion = 3;
 
 type MemberFields = [string, string, number];
 
@@ -30,7 +30,7 @@
 	number,
 	number | undefined,
 	Array<[string, number, number, number, number, number]>,
-	Array<[string, number, number]>,
+	Array<[string, number, number, number, number]>,
 	boolean,
 	Array<[string, number]>,
 	Array<[string, string]>,
@@ -50,7 +50,13 @@
 			target.stale,
 			Math.round(target.latency),
 		]),
-		report.workspaces.map(({workspace, asked, admitted}) => [workspace, asked, admitted]),
+		report.workspaces.map(({workspace, asked, admitted, before}) => [
+			workspace,
+			asked,
+			admitted,
+			before.asked,
+			before.admitted,
+		]),
 		report.isLeaving,
 		report.inFlight.map(([incarnation, requests]) => [incarnation, requests]),
 		report.crashes.map(({fingerprint, target}) => [fingerprint, target]),
@@ -88,7 +94,12 @@
 				stale,
 				latency,
 			})),
-			workspaces: workspaces.map(([workspace, asked, admitted]) => ({workspace, asked, admitted})),
+			workspaces: workspaces.map(([workspace, asked, admitted, askedBefore, admittedBefore]) => ({
+				workspace,
+				asked,
+				admitted,
+				before: {asked: askedBefore, admitted: admittedBefore},
+			})),
 			isLeaving,
 			inFlight,
 			crashes: crashes.map(([fingerprint, target]) => ({fingerprint, target})),
--- a/packages/policy-fleet/src/__tests__/fleet-member.test.ts
+++ b/packages/policy-fleet/src/__tests__/fleet-member.test.ts
@@ -126,10 +126,25 @@
 		own.workspaces.set('w', {asked: 5, admitted: 4});
 		fleet.run(2500);
 		for (const {self, admitted} of fleet.instances.values()) {
-			expect(admitted.get('w') ?? 0).toBe(self.address === '10.0.0.5' ? 0 : 3);
+			expect(admitted.get('w') ?? 0).toBe(self.address === '10.0.0.5' ? 0 : 4);
 		}
 	});
 
+	test('the first admissions of a workspace count, but not those before the receiver started', () => {
+		const fleet = createFleet(12, ['10.0.0.0']);
+		fleet.run(4000);
+		const {own} = fleet.instances.get('10.0.0.5')!;
+		own.workspaces.set('w', {asked: 60, admitted: 50});
+		fleet.run(2500);
+		fleet.instances.delete('10.0.0.7');
+		const late = fleet.add('10.0.0.7', 2);
+		fleet.run(2500);
+		own.workspaces.set('w', {asked: 63, admitted: 52});
+		fleet.run(2500);
+		expect(fleet.instances.get('10.0.0.6')!.admitted.get('w')).toBe(52);
+		expect(late.admitted.get('w')).toBe(2);
+	});
+
 	test('an instance that is cut off knows that it hears only a part of the fleet', () => {
 		const fleet = createFleet(12, ['10.0.0.0']);
 		fleet.run(4000);
--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -14,6 +14,7 @@
 	type Report,
 	type TargetLoad,
 	type TargetReport,
+	type WorkspaceCounts,
 	type WorkspaceTotal,
 } from './fleet-message.js';
 
@@ -28,7 +29,7 @@
 	readonly onTargets: (reports: readonly TargetReport[], now: number) => void;
 	readonly onLoad: (from: Member, inFlight: readonly TargetLoad[], now: number) => void;
 	/** What a member was asked for and admitted since its last report. */
-	readonly onUsage: (total: WorkspaceTotal, now: number) => void;
+	readonly onUsage: (usage: Omit<WorkspaceTotal, 'before'>, now: number) => void;
 	readonly onCrashes: (crashes: readonly CrashReport[], now: number) => void;
 	readonly onConfiguration: (state: ConfigurationState, from: Member, now: number) => void;
 };
@@ -61,7 +62,7 @@
 		takeContent: options.takeContent,
 	});
 	/** Totals last heard, by member and workspace. */
-	const totals = new Map<string, {startedAt: number; byWorkspace: Map<string, WorkspaceTotal>}>();
+	const totals = new Map<string, {startedAt: number; byWorkspace: Map<string, WorkspaceCounts>}>();
 	let startedAt: number | undefined;
 	let askedAt = Number.NEGATIVE_INFINITY;
 	let prunedAt = 0;
@@ -75,18 +76,16 @@
 
 		for (const total of workspaces) {
 			const {workspace} = total;
-			const before = known.byWorkspace.get(workspace);
-			if (before !== undefined && total.asked <= before.asked) {
+			// A first total may span the whole life of the member, of which only the news count.
+			const before = known.byWorkspace.get(workspace) ?? total.before;
+			if (total.asked <= before.asked) {
 				// Reports may arrive out of order.
 				continue;
 			}
 
 			known.byWorkspace.set(workspace, total);
-			// A first total may span the whole life of the member, so only differences count.
-			if (before !== undefined) {
-				const asked = total.asked - before.asked;
-				options.onUsage({workspace, asked, admitted: total.admitted - before.admitted}, now);
-			}
+			const asked = total.asked - before.asked;
+			options.onUsage({workspace, asked, admitted: total.admitted - before.admitted}, now);
 		}
 	}
 
--- a/packages/policy-fleet/src/fleet-message.ts
+++ b/packages/policy-fleet/src/fleet-message.ts
@@ -26,11 +26,13 @@
 	readonly latency: number;
 };
 
-/** Requests since the sender started. */
-export type WorkspaceTotal = {
+/** Numbers of requests since the sender started. */
+export type WorkspaceCounts = {readonly asked: number; readonly admitted: number};
+
+export type WorkspaceTotal = WorkspaceCounts & {
 	readonly workspace: string;
-	readonly asked: number;
-	readonly admitted: number;
+	/** What the sender said last; all of its requests since then are news to the receivers. */
+	readonly before: WorkspaceCounts;
 };
 
 /** Requests of the sender that are at a target now. */
--- a/packages/policy-fleet/src/report-schedule.ts
+++ b/packages/policy-fleet/src/report-schedule.ts
@@ -13,7 +13,7 @@
 	type Report,
 	type TargetLoad,
 	type TargetReport,
-	type WorkspaceTotal,
+	type WorkspaceCounts,
 } from './fleet-message.js';
 
 export type ReportContent = {
@@ -21,7 +21,7 @@
 	/** Told to neighbours only: it changes too often to cross between failure domains. */
 	readonly inFlight: readonly TargetLoad[];
 	/** Totals by workspace; those that changed are sent, and a later one makes good a lost one. */
-	readonly workspaces: ReadonlyMap<string, Omit<WorkspaceTotal, 'workspace'>>;
+	readonly workspaces: ReadonlyMap<string, WorkspaceCounts>;
 	/** Those of the last seconds; each report repeats them. */
 	readonly crashes: readonly CrashReport[];
 	readonly configuration: ConfigurationState;
@@ -56,12 +56,14 @@
 const nearHeartbeat = 1000;
 const farHeartbeat = 2000;
 
+const noRequests: WorkspaceCounts = {asked: 0, admitted: 0};
+
 type Audience = {
 	readonly interval: number;
 	readonly heartbeat: number;
 	readonly targets: Map<string, TargetReport>;
-	/** Requests asked for, by workspace, as last sent. */
-	readonly sentAsked: Map<string, number>;
+	/** As last sent, by workspace. */
+	readonly sentTotals: Map<string, WorkspaceCounts>;
 	sentAt: number;
 };
 
@@ -70,7 +72,7 @@
 		interval,
 		heartbeat,
 		targets: new Map(),
-		sentAsked: new Map(),
+		sentTotals: new Map(),
 		sentAt: Number.NEGATIVE_INFINITY,
 	};
 }
@@ -105,9 +107,10 @@
 	function reportFor(audience: Audience, content: ReportContent, isRelayed: boolean): Report {
 		const workspaces = [];
 		for (const [workspace, total] of content.workspaces) {
-			if (audience.sentAsked.get(workspace) !== total.asked) {
-				workspaces.push({workspace, ...total});
-				audience.sentAsked.set(workspace, total.asked);
+			const before = audience.sentTotals.get(workspace) ?? noRequests;
+			if (before.asked !== total.asked) {
+				workspaces.push({workspace, ...total, before});
+				audience.sentTotals.set(workspace, total);
 			}
 		}
 
@@ -139,7 +142,7 @@
 		}
 
 		for (const [workspace, {asked}] of content.workspaces) {
-			if (audience.sentAsked.get(workspace) !== asked) {
+			if ((audience.sentTotals.get(workspace) ?? noRequests).asked !== asked) {
 				return true;
 			}
 		}
