--- a/packages/gateway/src/__tests__/service-floor.test.ts
+++ b/packages/gateway/src/__tests__/service-floor.test.ts
@@ -147,6 +147,31 @@
 		expect(narrowShare(samples, from + 6000 + 6000 + 2000)).toBe(0);
 	});
 
+	test('targets that turned requests away for a moment get requests again', () => {
+		const from = 20_000;
+		const isBusy = (now: number) => from <= now && now < from + 1000;
+		const random = createSeededRandom(6);
+		const targets = Array.from({length: 15}, (_, index): ModelTarget => ({
+			id: `t${index}`,
+			failureDomain: failureDomains[index % failureDomains.length]!,
+			answer: now =>
+				index < 9 && isBusy(now)
+					? {result: 'shed', latency: 20}
+					: {result: 'ok', latency: 260 * (0.7 + 0.6 * random())},
+			isSound: now => index >= 9 || now < from || now >= from + 1000 + recovery,
+		}));
+		const {samples} = playFleet({
+			failureDomains,
+			instancesPerDomain: 2,
+			targets,
+			rate: 61,
+			isIdempotent: false,
+			length: minute,
+			seed: 6,
+		});
+		expect(narrowShare(samples, from + 1000 + recovery + 2000)).toBe(0);
+	});
+
 	test('a target that fails everything is tried every few seconds only', () => {
 		const length = 2 * minute;
 		const {attempts} = playFleet({
