Keep the floor also where the unused targets are in other failure domains

Change: at a target that is needed for the floor neither beliefs nor the detour count, and it is needed after 1.2 s instead of 2 s without a request, so that the spans of 2 s of the rule hold. The floor is not enforced while a service gets fewer than two requests a target in 2 s: an instance that hears nobody would take all targets for unused.

--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -30,6 +30,8 @@
 
 export type FleetModelOptions = {
 	readonly failureDomains: readonly string[];
+	/** Failure domains that have instances; default: all. */
+	readonly instanceDomains?: readonly string[];
 	readonly instancesPerDomain: number;
 	readonly targets: readonly ModelTarget[];
 	/** Requests per second of the whole fleet, evenly spread over its instances. */
@@ -172,7 +174,7 @@
 		};
 	}
 
-	const instances = failureDomains.flatMap(domain =>
+	const instances = (options.instanceDomains ?? failureDomains).flatMap(domain =>
 		Array.from({length: options.instancesPerDomain}, (_, index) =>
 			createInstance(`${domain}-${index}`, domain),
 		),
--- a/packages/gateway/src/__tests__/service-floor.test.ts
+++ b/packages/gateway/src/__tests__/service-floor.test.ts
@@ -172,6 +172,21 @@
 		expect(narrowShare(samples, from + 1000 + recovery + 2000)).toBe(0);
 	});
 
+	test('large answers come from other failure domains when those have no instance left', () => {
+		const {samples} = playFleet({
+			failureDomains,
+			instanceDomains: ['north', 'south'],
+			instancesPerDomain: 4,
+			targets: createTargets({count: 8, seed: 7, episodesOf: () => [], work: 210}),
+			rate: 25,
+			isIdempotent: true,
+			isDownload: true,
+			length: minute,
+			seed: 7,
+		});
+		expect(narrowShare(samples)).toBe(0);
+	});
+
 	test('a target that fails everything is tried every few seconds only', () => {
 		const length = 2 * minute;
 		const {attempts} = playFleet({
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -208,6 +208,14 @@
 		}
 	}
 
+	/** The floor of a service, or 0 while it gets too few requests for all of its targets. */
+	function floorOf(service: string, targets: number, now: number): number {
+		const requests = observedRate(service, now) * coverageSeconds;
+		return requests < targets * requestsPerTarget
+			? 0
+			: (configuration.tables?.document.services[service]?.floor ?? 0);
+	}
+
 	function coverageOf(service: string, now: number): Coverage {
 		return measureCoverage({
 			targets: directory.usable(service, now).filter(target => isOpen(target)),
@@ -233,16 +241,15 @@
 		};
 	}
 
-	function noteCoverage(service: string, floor: number, now: number): void {
+	function noteCoverage(service: string, now: number): void {
 		const {usable, inUse, unused} = coverageOf(service, now);
-		const rate = observedRate(service, now);
-		// With few requests not every target can have one.
-		const isNarrow =
-			inUse < floorCount(floor, usable) && rate * coverageSeconds >= usable * requestsPerTarget;
+		const floor = floorOf(service, usable, now);
+		const isNarrow = inUse < floorCount(floor, usable);
 		if (isNarrow === narrowed.has(service)) {
 			return;
 		}
 
+		const rate = observedRate(service, now);
 		const fields = {service, inUse, usable, floor, rate: Math.round(rate)};
 		if (isNarrow) {
 			narrowed.add(service);
@@ -394,7 +401,7 @@
 				excluded: request.excludedTargets,
 				isIdempotent: request.isIdempotent,
 				answerBytes: answerBytesByKind[request.route.isDownload === true ? 'download' : 'other'],
-				floor: configuration.tables?.document.services[request.service]?.floor ?? 0,
+				floor: floorOf(request.service, candidates.length, now),
 				now,
 			});
 			return target === undefined
@@ -461,10 +468,8 @@
 			}
 		},
 		watchCoverage(now) {
-			for (const [service, {floor}] of Object.entries(
-				configuration.tables?.document.services ?? {},
-			)) {
-				noteCoverage(service, floor, now);
+			for (const service of Object.keys(configuration.tables?.document.services ?? {})) {
+				noteCoverage(service, now);
 			}
 		},
 		coverage(now) {
--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -8,11 +8,11 @@
  * would keep itself up while the load narrows to the targets that proved themselves. The loss from
  * beliefs therefore shrinks while nobody asks the target: one without news is tried within about a
  * second, one that failed after some seconds. Below the floor of the service the least suspected of
- * the unused targets are tried whatever is believed of them, because failures of so many at once
- * mostly have a cause outside of them.
+ * the unused targets are tried whatever is believed of them and wherever they are, because failures
+ * of so many at once mostly have a cause outside of them.
  */
 import {type Random} from '@shallotpond/kernel/random';
-import {coverageWindow, floorCount} from './service-coverage.js';
+import {floorCount} from './service-coverage.js';
 import {type KnownTarget} from './target-directory.js';
 import {type TargetCondition} from './target-evidence.js';
 
@@ -24,7 +24,7 @@
 	readonly isIdempotent: boolean;
 	/** Expected bytes of the answer. */
 	readonly answerBytes: number;
-	/** Part of the open targets that must stay in use, 0 to 1. */
+	/** Part of the open targets that must stay in use, 0 to 1; 0 where requests are too few for it. */
 	readonly floor: number;
 	readonly now: number;
 };
@@ -90,14 +90,19 @@
 	least: -0.05,
 } as const;
 
+/** Milliseconds without a request after which a target is tried to keep the floor over 2 s. */
+const trialAfter = 1200;
+
 type Candidate = {
 	readonly target: KnownTarget;
 	/** Milliseconds. */
 	readonly unusedFor: number;
 	/** Loss that only news of the target can change. */
 	readonly believedLoss: number;
-	/** Loss from where the target is and what it has to do now. */
-	readonly placementLoss: number;
+	/** Loss from the detour to its failure domain. */
+	readonly detourLoss: number;
+	/** Loss from what the target has to do now, and from the path to it. */
+	readonly pathLoss: number;
 };
 
 export function createTargetChoice(options: TargetChoiceOptions): TargetChoice {
@@ -108,7 +113,7 @@
 		return load <= 1 ? load * losses.occupied : losses.occupied + (load - 1) * losses.waiting;
 	}
 
-	function domainLoss(target: KnownTarget, answerBytes: number): number {
+	function detourLoss(target: KnownTarget, answerBytes: number): number {
 		if (target.definition.failureDomain === failureDomain) {
 			return 0;
 		}
@@ -137,30 +142,32 @@
 			target,
 			unusedFor: options.unusedFor(target, now),
 			believedLoss: believedLoss(target, condition, request),
-			placementLoss:
+			detourLoss: detourLoss(target, request.answerBytes),
+			pathLoss:
 				(condition.isUnreachable ? losses.unreachable : 0) +
 				waitingLoss(target, now) +
-				(options.hasConnection(target, now) ? 0 : losses.connection) +
-				domainLoss(target, request.answerBytes),
+				(options.hasConnection(target, now) ? 0 : losses.connection),
 		};
 	}
 
 	/** The targets that must be tried to keep the floor. Sorts only while the floor is not kept. */
 	function neededForFloor(candidates: readonly Candidate[], floor: number): Set<Candidate> {
-		const unused = candidates.filter(({unusedFor}) => unusedFor >= coverageWindow);
+		const unused = candidates.filter(({unusedFor}) => unusedFor >= trialAfter);
 		const missing = floorCount(floor, candidates.length) - (candidates.length - unused.length);
 		return missing <= 0
 			? new Set()
 			: new Set(unused.sort((a, b) => a.believedLoss - b.believedLoss).slice(0, missing));
 	}
 
+	/** Neither beliefs nor detours count at a target that is needed for the floor. */
 	function lossOf(candidate: Candidate, isNeeded: boolean): number {
-		const {unusedFor, placementLoss} = candidate;
+		const {unusedFor, believedLoss: believed, pathLoss} = candidate;
+		if (isNeeded) {
+			return curiosity.least + pathLoss;
+		}
+
 		const shrinkage = Math.max(0, unusedFor - curiosity.from) * curiosity.rate;
-		const belief = isNeeded
-			? curiosity.least
-			: Math.max(curiosity.least, candidate.believedLoss - shrinkage);
-		return belief + placementLoss;
+		return Math.max(curiosity.least, believed - shrinkage) + candidate.detourLoss + pathLoss;
 	}
 
 	/**
