Wait longer before a target that failed is tried for the floor

A target that has just failed was needed for the floor after 1.2 s like one that nobody asked, so where most targets truly fail, swaps were sent to them more often than the floor asks for. It is sound again 2 s after its recovery at the earliest, so 2.5 s without a request keep the floor.

--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -90,8 +90,13 @@
 	least: -0.05,
 } as const;
 
-/** Milliseconds without a request after which a target is tried to keep the floor over 2 s. */
-const trialAfter = 1200;
+/**
+ * Milliseconds without a request after which a target is tried to keep the floor. One that failed
+ * gets longer: it counts as sound again 2 s after it has recovered, and must be in use within 2 s.
+ */
+const trialAfter = {trusted: 1200, suspected: 2500} as const;
+/** Loss from beliefs above which a target counts as suspected here; one without news has 0.09. */
+const suspectedLoss = 0.2;
 
 type Candidate = {
 	readonly target: KnownTarget;
@@ -152,11 +157,19 @@
 
 	/** The targets that must be tried to keep the floor. Sorts only while the floor is not kept. */
 	function neededForFloor(candidates: readonly Candidate[], floor: number): Set<Candidate> {
-		const unused = candidates.filter(({unusedFor}) => unusedFor >= trialAfter);
+		const unused = candidates.filter(({unusedFor}) => unusedFor >= trialAfter.trusted);
 		const missing = floorCount(floor, candidates.length) - (candidates.length - unused.length);
-		return missing <= 0
-			? new Set()
-			: new Set(unused.sort((a, b) => a.believedLoss - b.believedLoss).slice(0, missing));
+		if (missing <= 0) {
+			return new Set();
+		}
+
+		const needed = unused.sort((a, b) => a.believedLoss - b.believedLoss).slice(0, missing);
+		return new Set(
+			needed.filter(
+				({believedLoss: believed, unusedFor}) =>
+					believed <= suspectedLoss || unusedFor >= trialAfter.suspected,
+			),
+		);
 	}
 
 	/** Neither beliefs nor detours count at a target that is needed for the floor. */
