--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -95,7 +95,7 @@
 /** Bytes that an answer is expected to have. */
 const answerBytesByKind = {download: 90_000, other: 2000} as const;
 
-/** Requests of a service for each of its targets in `coverageWindow` below which its use says nothing. */
+/** Requests for each target of a service in `coverageWindow` that are too few to keep the floor. */
 const requestsPerTarget = 2;
 const coverageSeconds = coverageWindow / millisecondsPerSecond;
 const hundredths = 100;
@@ -351,13 +351,17 @@
 	}
 
 	/** What decided, with the age of what the platform said of the target. */
-	function basisOf(target: KnownTarget, candidates: number, now: number) {
+	function basisOf(
+		target: KnownTarget,
+		{candidates, unusedFor}: {readonly candidates: number; readonly unusedFor: number},
+		now: number,
+	) {
 		const condition = evidence.conditionOf(target.incarnation, target.service, now);
 		return {
 			candidates,
 			risk: roundFraction(condition.failureRisk),
 			load: loadAt(target, now),
-			unusedFor: Math.round(usage.unusedFor(target, now)),
+			unusedFor: Math.round(unusedFor),
 			listedFor: Math.round(now - target.listedAt),
 		};
 	}
@@ -368,7 +372,7 @@
 		candidates: number,
 		now: number,
 	): SlotGrant {
-		const basis = basisOf(target, candidates, now);
+		const unusedFor = usage.unusedFor(target, now);
 		changeInFlight(target.incarnation, 1);
 		usage.note(target.incarnation, now);
 		return {
@@ -376,7 +380,7 @@
 			target: target.definition,
 			signal: createStopController().signal,
 			keepsConnection: true,
-			basis,
+			basis: basisOf(target, {candidates, unusedFor}, now),
 			patience: patienceOf(target, request, now),
 			longestIdle: connectionTrust.longestIdle(request.service, now),
 			isInForce: () => request.route.open || !configuration.isUncertain(),
--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -81,7 +81,7 @@
 const temperature = 0.03;
 
 /** How the loss from beliefs shrinks at a target that gets no requests. */
-const curiosity = {
+const exploration = {
 	/** Milliseconds without a request that are usual for a target of a service with few requests. */
 	from: 300,
 	/** Loss for each millisecond after that. */
@@ -176,11 +176,11 @@
 	function lossOf(candidate: Candidate, isNeeded: boolean): number {
 		const {unusedFor, believedLoss: believed, pathLoss} = candidate;
 		if (isNeeded) {
-			return curiosity.least + pathLoss;
+			return exploration.least + pathLoss;
 		}
 
-		const shrinkage = Math.max(0, unusedFor - curiosity.from) * curiosity.rate;
-		return Math.max(curiosity.least, believed - shrinkage) + candidate.detourLoss + pathLoss;
+		const shrinkage = Math.max(0, unusedFor - exploration.from) * exploration.rate;
+		return Math.max(exploration.least, believed - shrinkage) + candidate.detourLoss + pathLoss;
 	}
 
 	/**
