--- /dev/null
+++ b/packages/gateway/src/__tests__/fixed-configuration.ts
@@ -0,0 +1,16 @@
+/** A configuration service whose document never changes and is always certain. */
+import {type ConfigurationDocument} from '@shallotpond/configuration/document-schema';
+import {createLookupTables} from '@shallotpond/configuration/lookup-tables';
+import {type ConfigurationService} from '../configuration-service.js';
+
+export function createFixedConfiguration(document: ConfigurationDocument): ConfigurationService {
+	return {
+		tables: createLookupTables(document),
+		version: document.version,
+		adopt: () => undefined,
+		confirm: () => undefined,
+		confirmedAgo: () => 0,
+		coldTimeOf: service => document.services[service]?.coldTime ?? 0,
+		isUncertain: () => false,
+	};
+}
--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -3,7 +3,6 @@
  * and faster than time: the decisions and the reports are the real ones, callers and targets are
  * modelled. Answers how the load of one service spreads over its targets.
  */
-import {createLookupTables} from '@shallotpond/configuration/lookup-tables';
 import {documentSchema} from '@shallotpond/configuration/document-schema';
 import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {createSeededRandom} from '@shallotpond/kernel/random';
@@ -14,6 +13,7 @@
 import {type FleetMessage} from '@shallotpond/policy-fleet/fleet-message';
 import {createSteerableClock} from '@shallotpond/testkit/steerable-clock';
 import {createRoutingService, type RoutingService} from '../routing-service.js';
+import {createFixedConfiguration} from './fixed-configuration.js';
 
 export type ModelTarget = {
 	readonly id: string;
@@ -103,7 +103,7 @@
 	const clock = createSteerableClock({start: 0});
 	const random = createSeededRandom(options.seed);
 	const document = createDocument(failureDomains, options.isDownload ?? false);
-	const tables = createLookupTables(document);
+	const configuration = createFixedConfiguration(document);
 	const pending: Pending[] = [];
 	const attempts: Attempt[] = [];
 	const samples: CoverageSample[] = [];
@@ -116,15 +116,7 @@
 			random,
 			log: options.log ?? silentLog,
 			failureDomain,
-			configuration: {
-				tables,
-				version: 1,
-				adopt: () => undefined,
-				confirm: () => undefined,
-				confirmedAgo: () => 0,
-				coldTimeOf: () => 3000,
-				isUncertain: () => false,
-			},
+			configuration,
 			directory,
 			evidence: createTargetEvidence(),
 			onFailure() {
--- a/packages/gateway/src/__tests__/routing-service.test.ts
+++ b/packages/gateway/src/__tests__/routing-service.test.ts
@@ -1,6 +1,5 @@
 /** Placement in a process that has just started, loses a path, or meets a restarted target. */
 import {beforeEach, describe, expect, test} from '@jest/globals';
-import {createLookupTables} from '@shallotpond/configuration/lookup-tables';
 import {documentSchema} from '@shallotpond/configuration/document-schema';
 import {createSeededRandom} from '@shallotpond/kernel/random';
 import {silentLog} from '@shallotpond/observability/event-log';
@@ -12,6 +11,7 @@
 import {createSteerableClock, type SteerableClock} from '@shallotpond/testkit/steerable-clock';
 import {type SlotGrant} from '@shallotpond/io-http/request-policy';
 import {createRoutingService, type RoutingService} from '../routing-service.js';
+import {createFixedConfiguration} from './fixed-configuration.js';
 
 const document = documentSchema.parse({
 	version: 1,
@@ -30,21 +30,12 @@
 	beforeEach(() => {
 		clock = createSteerableClock({start: 1000});
 		directory = createTargetDirectory();
-		const tables = createLookupTables(document);
 		routing = createRoutingService({
 			clock,
 			random: createSeededRandom(11),
 			log: silentLog,
 			failureDomain: 'north',
-			configuration: {
-				tables,
-				version: 1,
-				adopt: () => undefined,
-				confirm: () => undefined,
-				confirmedAgo: () => 0,
-				coldTimeOf: () => 3000,
-				isUncertain: () => false,
-			},
+			configuration: createFixedConfiguration(document),
 			directory,
 			evidence: createTargetEvidence(),
 			onFailure: () => undefined,
--- a/packages/gateway/src/__tests__/service-floor.test.ts
+++ b/packages/gateway/src/__tests__/service-floor.test.ts
@@ -4,6 +4,8 @@
 import {playFleet, type CoverageSample, type ModelTarget} from './fleet-model.js';
 
 const failureDomains = ['north', 'south', 'hall', 'port'];
+/** Requests of a service that run once only, at the rate of a usual day. */
+const swaps = {failureDomains, instancesPerDomain: 2, rate: 61, isIdempotent: false} as const;
 const floor = 0.7;
 /** Milliseconds of simulated time after which beliefs have settled. */
 const settled = 10_000;
@@ -88,15 +90,12 @@
 		'targets that fail for a moment now and then are asked again soon after, seed %i',
 		seed => {
 			const {samples} = playFleet({
-				failureDomains,
-				instancesPerDomain: 2,
+				...swaps,
 				targets: createTargets({
 					count: 15,
 					seed,
 					episodesOf: (_, random) => drawNoise(random, 3 * minute),
 				}),
-				rate: 61,
-				isIdempotent: false,
 				length: 3 * minute,
 				seed,
 			});
@@ -109,15 +108,12 @@
 		seed => {
 			const from = 20_000;
 			const {samples} = playFleet({
-				failureDomains,
-				instancesPerDomain: 2,
+				...swaps,
 				targets: createTargets({
 					count: 15,
 					seed,
 					episodesOf: index => (index < 9 ? [{from, to: from + 1000, share: 0.9}] : []),
 				}),
-				rate: 61,
-				isIdempotent: false,
 				length: minute,
 				seed,
 			});
@@ -129,8 +125,7 @@
 	test('targets that were slow get requests again when they have recovered', () => {
 		const from = 20_000;
 		const {samples} = playFleet({
-			failureDomains,
-			instancesPerDomain: 2,
+			...swaps,
 			targets: createTargets({
 				count: 8,
 				seed: 4,
@@ -161,11 +156,8 @@
 			isSound: now => index >= 9 || now < from || now >= from + 1000 + recovery,
 		}));
 		const {samples} = playFleet({
-			failureDomains,
-			instancesPerDomain: 2,
+			...swaps,
 			targets,
-			rate: 61,
-			isIdempotent: false,
 			length: minute,
 			seed: 6,
 		});
@@ -190,15 +182,12 @@
 	test('a target that fails everything is tried every few seconds only', () => {
 		const length = 2 * minute;
 		const {attempts} = playFleet({
-			failureDomains,
-			instancesPerDomain: 2,
+			...swaps,
 			targets: createTargets({
 				count: 15,
 				seed: 5,
 				episodesOf: index => (index === 0 ? [{from: 0, to: length, share: 1}] : []),
 			}),
-			rate: 61,
-			isIdempotent: false,
 			length,
 			seed: 5,
 		});
