Try targets that failed only as far as the floor asks for it

Change: the loss from beliefs shrinks by 0.1 at most, which is what a target without news needs; one that failed waits until the belief has faded, unless the floor needs it. The floor is exceeded by a tenth, because targets in use may fail unnoticed, and suspected targets are tried for it with half the weight of others, because instances that do not know of each other's trial would try them together.

--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -86,9 +86,13 @@
 	from: 300,
 	/** Loss for each millisecond after that. */
 	rate: 0.075 / 1000,
+	/** Most by which it shrinks: enough for a target without news, not for one that failed. */
+	most: 0.1,
 	/** The least that is left; below 0 an unused target goes before those in use. */
 	least: -0.05,
 } as const;
+/** Part of the targets by which the floor is exceeded, because some of those in use may fail unnoticed. */
+const floorMargin = 0.1;
 
 /**
  * Milliseconds without a request after which a target is tried to keep the floor. One that failed
@@ -97,6 +101,8 @@
 const trialAfter = {trusted: 1200, suspected: 2500} as const;
 /** Loss from beliefs above which a target counts as suspected here; one without news has 0.09. */
 const suspectedLoss = 0.2;
+/** Loss at a suspected target that is tried: instances that cannot tell each other take turns by chance. */
+const suspectedTrialLoss = 0.04;
 
 type Candidate = {
 	readonly target: KnownTarget;
@@ -158,7 +164,8 @@
 	/** The targets that must be tried to keep the floor. Sorts only while the floor is not kept. */
 	function neededForFloor(candidates: readonly Candidate[], floor: number): Set<Candidate> {
 		const unused = candidates.filter(({unusedFor}) => unusedFor >= trialAfter.trusted);
-		const missing = floorCount(floor, candidates.length) - (candidates.length - unused.length);
+		const part = floor === 0 ? 0 : Math.min(1, floor + floorMargin);
+		const missing = floorCount(part, candidates.length) - (candidates.length - unused.length);
 		if (missing <= 0) {
 			return new Set();
 		}
@@ -176,10 +183,13 @@
 	function lossOf(candidate: Candidate, isNeeded: boolean): number {
 		const {unusedFor, believedLoss: believed, pathLoss} = candidate;
 		if (isNeeded) {
-			return exploration.least + pathLoss;
+			return (believed > suspectedLoss ? suspectedTrialLoss : exploration.least) + pathLoss;
 		}
 
-		const shrinkage = Math.max(0, unusedFor - exploration.from) * exploration.rate;
+		const shrinkage = Math.min(
+			exploration.most,
+			Math.max(0, unusedFor - exploration.from) * exploration.rate,
+		);
 		return Math.max(exploration.least, believed - shrinkage) + candidate.detourLoss + pathLoss;
 	}
 
