Keep the floor exactly instead of exceeding it by a tenth

The floor counts all usable targets, also those that truly fail, so it is on the safe side without a margin. The tests of the floor pass unchanged.

--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -91,8 +91,6 @@
 	/** The least that is left; below 0 an unused target goes before those in use. */
 	least: -0.05,
 } as const;
-/** Part of the targets by which the floor is exceeded, because some of those in use may fail unnoticed. */
-const floorMargin = 0.1;
 
 /**
  * Milliseconds without a request after which a target is tried to keep the floor. One that failed
@@ -164,8 +162,7 @@
 	/** The targets that must be tried to keep the floor. Sorts only while the floor is not kept. */
 	function neededForFloor(candidates: readonly Candidate[], floor: number): Set<Candidate> {
 		const unused = candidates.filter(({unusedFor}) => unusedFor >= trialAfter.trusted);
-		const part = floor === 0 ? 0 : Math.min(1, floor + floorMargin);
-		const missing = floorCount(part, candidates.length) - (candidates.length - unused.length);
+		const missing = floorCount(floor, candidates.length) - (candidates.length - unused.length);
 		if (missing <= 0) {
 			return new Set();
 		}
