Draw by weight in one place

The same loop over weights stood in the choice of a target, the split of a route, and twice in the soak. drawWeighted in kernel/random serves all four; each keeps its own answer for the case that nothing is drawn.

--- a/packages/kernel/src/random.ts
+++ b/packages/kernel/src/random.ts
@@ -5,6 +5,27 @@
 /** Returns a number in [0, 1). */
 export type Random = () => number;
 
+/**
+ * Draws an item with a chance in proportion to its weight. Undefined where all weights are 0, or
+ * where rounding leaves a rest beyond the last one. Calls `random` once; linear in the items.
+ */
+export function drawWeighted<Item>(
+	items: readonly Item[],
+	weightOf: (item: Item, index: number) => number,
+	random: Random,
+): Item | undefined {
+	let total = 0;
+	for (const [index, item] of items.entries()) {
+		total += weightOf(item, index);
+	}
+
+	let rest = random() * total;
+	return items.find((item, index) => {
+		rest -= weightOf(item, index);
+		return rest < 0;
+	});
+}
+
 /**
  * A small seeded generator (the mulberry32 construction, 32 bits of state). Not for secrets.
  */
--- a/packages/policy-routing/src/service-split.ts
+++ b/packages/policy-routing/src/service-split.ts
@@ -4,7 +4,7 @@
  * requests as well.
  */
 import {type RouteDefinition} from '@shallotpond/configuration/document-schema';
-import {type Random} from '@shallotpond/kernel/random';
+import {drawWeighted, type Random} from '@shallotpond/kernel/random';
 
 export type ServiceSplit = {
 	/** The service for the next request of the route. */
@@ -23,18 +23,14 @@
 				return route.service;
 			}
 
-			const total = split.reduce((sum, part) => sum + part.weight, 0);
 			const position = ((positions.get(route.id) ?? random()) + stride) % 1;
 			positions.set(route.id, position);
-			let rest = position * total;
-			for (const part of split) {
-				rest -= part.weight;
-				if (rest < 0) {
-					return part.service;
-				}
-			}
-
-			return split[0]!.service;
+			const part = drawWeighted(
+				split,
+				({weight}) => weight,
+				() => position,
+			);
+			return (part ?? split[0]!).service;
 		},
 	};
 }
--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -11,7 +11,7 @@
  * the unused targets are tried whatever is believed of them and wherever they are, because failures
  * of so many at once mostly have a cause outside of them.
  */
-import {type Random} from '@shallotpond/kernel/random';
+import {drawWeighted, type Random} from '@shallotpond/kernel/random';
 import {floorCount} from './service-coverage.js';
 import {type KnownTarget} from './target-directory.js';
 import {type TargetCondition} from './target-evidence.js';
@@ -224,16 +224,7 @@
 			const targetLosses = candidates.map(candidate => lossOf(candidate, needed.has(candidate)));
 			const least = Math.min(...targetLosses);
 			const weights = targetLosses.map(loss => Math.exp((least - loss) / temperature));
-			const total = weights.reduce((sum, weight) => sum + weight, 0);
-			let rest = random() * total;
-			for (const [index, weight] of weights.entries()) {
-				rest -= weight;
-				if (rest <= 0) {
-					return targets[index];
-				}
-			}
-
-			return targets.at(-1);
+			return drawWeighted(targets, (_target, index) => weights[index]!, random) ?? targets.at(-1);
 		},
 	};
 }
--- a/packages/soak/src/fault-schedule.ts
+++ b/packages/soak/src/fault-schedule.ts
@@ -2,7 +2,7 @@
  * The faults of one run, drawn from its seed: what happens when, to which instance, target or domain.
  * Faults overlap and come in series, because that is where single ones would not show anything.
  */
-import {type Random} from '@shallotpond/kernel/random';
+import {drawWeighted, type Random} from '@shallotpond/kernel/random';
 
 export type FaultKind =
 	| 'instance-kill'
@@ -80,15 +80,8 @@
 
 function pick(random: Random): FaultKind {
 	const entries = Object.entries(weights) as Array<[FaultKind, number]>;
-	let rest = random() * entries.reduce((sum, [, weight]) => sum + weight, 0);
-	for (const [kind, weight] of entries) {
-		rest -= weight;
-		if (rest < 0) {
-			return kind;
-		}
-	}
-
-	return entries.at(-1)![0];
+	const [kind] = drawWeighted(entries, ([, weight]) => weight, random) ?? entries.at(-1)!;
+	return kind;
 }
 
 /** `duration` is that of the traffic, milliseconds. Faults end before the traffic does. */
--- a/packages/soak/src/soak-callers.ts
+++ b/packages/soak/src/soak-callers.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import {type Clock} from '@shallotpond/kernel/clock';
-import {type Random} from '@shallotpond/kernel/random';
+import {drawWeighted, type Random} from '@shallotpond/kernel/random';
 import {callerHeaders, readSeal} from '@shallotpond/platform/stand-in-wire';
 import {type Observations} from './observations.js';
 import {sealOf} from './soak-target.js';
@@ -95,13 +95,7 @@
 	}
 
 	function pickRoute(): CallerRoute {
-		let rest = random() * options.routes.reduce((sum, {weight}) => sum + weight, 0);
-		return (
-			options.routes.find(({weight}) => {
-				rest -= weight;
-				return rest < 0;
-			}) ?? options.routes[0]!
-		);
+		return drawWeighted(options.routes, ({weight}) => weight, random) ?? options.routes[0]!;
 	}
 
 	function send(workspace: string): void {
