Build the fault handlers and findings of the soak without repetition

Twelve handlers repeated the same call with another word, so three functions make them; and every check filled in an empty promise name that checkPromises replaced, so checks return findings without one.

--- a/packages/soak/src/promise-checks.ts
+++ b/packages/soak/src/promise-checks.ts
@@ -34,7 +34,8 @@
 	readonly at: number;
 };
 
-type Check = (observations: Observations, bounds: Bounds) => Violation[];
+type Finding = Omit<Violation, 'promise'>;
+type Check = (observations: Observations, bounds: Bounds) => Finding[];
 
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const millisecondsPerSecond = 1000;
@@ -109,11 +110,11 @@
 	'whole own answer': ({outcomes}) =>
 		outcomes
 			.filter(({status, isGenuine}) => status !== undefined && status < 300 && !isGenuine)
-			.map(({id, at, status}) => ({promise: '', detail: `${id} got ${status}`, at})),
+			.map(({id, at, status}) => ({detail: `${id} got ${status}`, at})),
 	'at most once': observations =>
 		[...runsById(observations)]
 			.filter(([id, runs]) => observations.sent.get(id)?.isRepeatable === false && runs.length > 1)
-			.map(([id, runs]) => ({promise: '', detail: `${id} ran ${runs.length}x`, at: runs[1]!.at})),
+			.map(([id, runs]) => ({detail: `${id} ran ${runs.length}x`, at: runs[1]!.at})),
 	'true refusal'(observations) {
 		const runs = runsById(observations);
 		return observations.outcomes
@@ -121,20 +122,16 @@
 				const isRefused = status !== undefined && notRunStatuses.has(status);
 				return isRefused && observations.sent.get(id)?.isRepeatable === false && runs.has(id);
 			})
-			.map(({id, at, status}) => ({promise: '', detail: `${id} got ${status} and ran`, at}));
+			.map(({id, at, status}) => ({detail: `${id} got ${status} and ran`, at}));
 	},
 	'asked for': ({runs, sent}) =>
-		runs
-			.filter(({id}) => !sent.has(id))
-			.map(({id, at}) => ({promise: '', detail: `${id} was never sent`, at})),
+		runs.filter(({id}) => !sent.has(id)).map(({id, at}) => ({detail: `${id} was never sent`, at})),
 	'no key at targets': ({runs}) =>
-		runs
-			.filter(({hasKey}) => hasKey)
-			.map(({id, at}) => ({promise: '', detail: `${id} carried its key`, at})),
+		runs.filter(({hasKey}) => hasKey).map(({id, at}) => ({detail: `${id} carried its key`, at})),
 	'own workspace': ({runs, sent}) =>
 		runs
 			.filter(({id, workspace}) => sent.has(id) && sent.get(id)!.workspace !== workspace)
-			.map(({id, workspace, at}) => ({promise: '', detail: `${id} ran for ${workspace}`, at})),
+			.map(({id, workspace, at}) => ({detail: `${id} ran for ${workspace}`, at})),
 	'withdrawn key'(observations, bounds) {
 		const withdrawnAt = new Map(
 			changesOf(observations, 'key-withdrawn').map(({key, at}) => [key, at]),
@@ -143,7 +140,7 @@
 			const request = observations.sent.get(id);
 			const limit = (withdrawnAt.get(request?.key ?? '') ?? Infinity) + bounds.withdrawal;
 			const isLate = request !== undefined && request.at > limit;
-			return isLate ? [{promise: '', detail: `${id} ran ${request.at - limit} ms late`, at}] : [];
+			return isLate ? [{detail: `${id} ran ${request.at - limit} ms late`, at}] : [];
 		});
 	},
 	'workspace rate': ({runs, sent}, bounds) =>
@@ -152,9 +149,7 @@
 			const {count, at} = mostWithin(times, bounds.rateWindow);
 			const limit = (rate * bounds.rateWindow) / millisecondsPerSecond + burst;
 			const most = limit * (1 + bounds.rateExcess) + bounds.rateSlack;
-			return count > most
-				? [{promise: '', detail: `${workspace}: ${count} of at most ${most}`, at}]
-				: [];
+			return count > most ? [{detail: `${workspace}: ${count} of at most ${most}`, at}] : [];
 		}),
 	'cold target': (observations, bounds) =>
 		changesOf(observations, 'target-cold').flatMap(({target, at: from, until}) => {
@@ -162,9 +157,7 @@
 				.filter(run => run.target === target && run.at >= from && run.at < until)
 				.map(({at}) => at);
 			const {count, at} = mostWithin(times, millisecondsPerSecond);
-			return count > bounds.coldRate
-				? [{promise: '', detail: `${target}: ${count} in a second`, at}]
-				: [];
+			return count > bounds.coldRate ? [{detail: `${target}: ${count} in a second`, at}] : [];
 		}),
 	'leaving target'(observations, bounds) {
 		const leavingAt = new Map(
@@ -172,14 +165,14 @@
 		);
 		return [...heldRuns(observations, bounds)]
 			.filter(({run}) => run.at > (leavingAt.get(run.target) ?? Infinity) + bounds.leaving)
-			.map(({run: {id, target, at}}) => ({promise: '', detail: `${id} reached ${target}`, at}));
+			.map(({run: {id, target, at}}) => ({detail: `${id} reached ${target}`, at}));
 	},
 	'domain out of service': (observations, bounds) =>
 		changesOf(observations, 'domain-out').flatMap(({domain, at: from, until}) =>
 			[...heldRuns(observations, bounds)]
 				.filter(({run}) => run.failureDomain === domain)
 				.filter(({run}) => run.at > from + bounds.evacuation && run.at < until)
-				.map(({run: {id, at}}) => ({promise: '', detail: `${id} reached ${domain}`, at})),
+				.map(({run: {id, at}}) => ({detail: `${id} reached ${domain}`, at})),
 		),
 	'configuration in force'(observations, bounds) {
 		const moves = changesOf(observations, 'route-moved');
@@ -189,15 +182,13 @@
 			const allowed = inForce.filter(({at}) => settled === undefined || at >= settled.at);
 			const isOutdated =
 				settled !== undefined && allowed.every(({service}) => service !== run.service);
-			return isOutdated
-				? [{promise: '', detail: `${run.id} ran at ${run.service}`, at: run.at}]
-				: [];
+			return isOutdated ? [{detail: `${run.id} ran at ${run.service}`, at: run.at}] : [];
 		});
 	},
 	'configuration never goes back'(observations, bounds) {
 		const moves = changesOf(observations, 'route-moved');
 		const seen = new Map<string, {version: number; at: number}>();
-		const violations: Violation[] = [];
+		const findings: Finding[] = [];
 		const runs = [...observations.runs].sort((first, second) => first.at - second.at);
 		for (const {id, service, at} of runs) {
 			const request = observations.sent.get(id);
@@ -213,14 +204,14 @@
 			const newest = seen.get(process);
 			if (newest !== undefined && version < newest.version) {
 				if (request.at > newest.at + bounds.revert) {
-					violations.push({promise: '', detail: `${id} ran at ${service}`, at});
+					findings.push({detail: `${id} ran at ${service}`, at});
 				}
 			} else if (newest === undefined || version > newest.version) {
 				seen.set(process, {version, at});
 			}
 		}
 
-		return violations;
+		return findings;
 	},
 	'planned stop cuts nothing'(observations, bounds) {
 		const ran = runsById(observations);
@@ -247,7 +238,7 @@
 					const isHeld = isInTouch(observations, bounds, before) && !wasHarmed;
 					return isLost && isInTime && isHeld;
 				})
-				.map(({id, at}) => ({promise: '', detail: `${id} was cut`, at})),
+				.map(({id, at}) => ({detail: `${id} was cut`, at})),
 		);
 	},
 };
@@ -257,6 +248,6 @@
 /** Every case in which a promise was broken. */
 export function checkPromises(observations: Observations, bounds: Bounds): Violation[] {
 	return Object.entries(checks).flatMap(([promise, check]) =>
-		check(observations, bounds).map(violation => ({...violation, promise})),
+		check(observations, bounds).map(finding => ({promise, ...finding})),
 	);
 }
--- a/packages/soak/src/soak-run.ts
+++ b/packages/soak/src/soak-run.ts
@@ -6,12 +6,14 @@
 import {type Clock} from '@shallotpond/kernel/clock';
 import {createSeededRandom} from '@shallotpond/kernel/random';
 import {createStandInStore, type StoreTrouble} from '@shallotpond/platform/stand-in-store';
+import {type ProxyMode} from './fault-proxy.js';
 import {drawFaults, type Fault, type FaultKind} from './fault-schedule.js';
 import {createObservations, type Observations} from './observations.js';
 import {checkPromises, type Violation} from './promise-checks.js';
 import {createSoakCallers} from './soak-callers.js';
 import {createSoakInstances} from './soak-instances.js';
 import {createSoakOperator} from './soak-operator.js';
+import {type TargetTrouble} from './soak-target.js';
 import {createSoakTargets} from './soak-targets.js';
 import {bounds, floodedWorkspace, floodFactor, ratesPerInstance, routes} from './soak-terms.js';
 
@@ -114,13 +116,21 @@
 		observations.disturbances.push({instance: undefined, from, until: from + length});
 	}
 
-	function troubleStore(trouble: StoreTrouble, fault: Fault): void {
+	const troubleTarget = (trouble: TargetTrouble) => (fault: Fault) => {
+		targets.trouble(trouble, fault);
+	};
+
+	const harmLink = (mode: ProxyMode) => (fault: Fault) => {
+		targets.harmLink(mode, fault);
+	};
+
+	const troubleStore = (trouble: StoreTrouble) => (fault: Fault) => {
 		disturbAll(fault.duration);
 		store.setTrouble(trouble);
 		clock.after(fault.duration, () => {
 			store.setTrouble(undefined);
 		});
-	}
+	};
 
 	const handlers: Readonly<Record<FaultKind, (fault: Fault, index: number) => void>> = {
 		'instance-kill'(_fault, index) {
@@ -138,31 +148,15 @@
 			}
 		},
 		'target-crash': targets.crash,
-		'target-gray'(fault) {
-			targets.trouble('gray', fault);
-		},
-		'target-slow'(fault) {
-			targets.trouble('slow', fault);
-		},
-		'target-mute'(fault) {
-			targets.trouble('mute', fault);
-		},
-		'target-forgets'(fault) {
-			targets.trouble('forgets', fault);
-		},
+		'target-gray': troubleTarget('gray'),
+		'target-slow': troubleTarget('slow'),
+		'target-mute': troubleTarget('mute'),
+		'target-forgets': troubleTarget('forgets'),
 		'target-leaves': targets.leave,
-		'link-delay'(fault) {
-			targets.harmLink('delay', fault);
-		},
-		'link-reset'(fault) {
-			targets.harmLink('reset', fault);
-		},
-		'link-silence'(fault) {
-			targets.harmLink('silence', fault);
-		},
-		'link-one-way'(fault) {
-			targets.harmLink('one-way', fault);
-		},
+		'link-delay': harmLink('delay'),
+		'link-reset': harmLink('reset'),
+		'link-silence': harmLink('silence'),
+		'link-one-way': harmLink('one-way'),
 		'connections-silent'() {
 			disturbAll(1);
 			targets.silenceOpen();
@@ -171,18 +165,10 @@
 		'store-cut'(fault, index) {
 			instances.cutFromStore(index, fault.duration);
 		},
-		'store-reset'(fault) {
-			troubleStore('reset', fault);
-		},
-		'store-silent'(fault) {
-			troubleStore('silent', fault);
-		},
-		'store-busy'(fault) {
-			troubleStore('busy', fault);
-		},
-		'store-slow'(fault) {
-			troubleStore('slow', fault);
-		},
+		'store-reset': troubleStore('reset'),
+		'store-silent': troubleStore('silent'),
+		'store-busy': troubleStore('busy'),
+		'store-slow': troubleStore('slow'),
 		'store-compact'() {
 			disturbAll(1);
 			store.compact();
