Judge the chosen target once for its grant, and correct two comments

The condition of the chosen target was computed for the log and again for the patience of its attempt, and the services were listed in two places for the coverage. The head of target-choice still said that a failed target is tried after some seconds, which changed, and that of service-coverage claimed what routing-service does.

--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -241,8 +241,12 @@
 		};
 	}
 
-	function noteCoverage(service: string, now: number): void {
-		const {usable, inUse, unused} = coverageOf(service, now);
+	function coverage(now: number): Map<string, Coverage> {
+		const services = Object.keys(configuration.tables?.document.services ?? {});
+		return new Map(services.map(service => [service, coverageOf(service, now)]));
+	}
+
+	function noteCoverage(service: string, {usable, inUse, unused}: Coverage, now: number): void {
 		const floor = floorOf(service, usable, now);
 		const isNarrow = inUse < floorCount(floor, usable);
 		if (isNarrow === narrowed.has(service)) {
@@ -333,9 +337,8 @@
 	 * How long an attempt of a repeatable request may be silent before another one may start. Work
 	 * varies by a factor of two or three, so only a target that others found failing is given up soon.
 	 */
-	function patienceOf(target: KnownTarget, request: SlotRequest, now: number): number {
+	function patienceOf(failureRisk: number, request: SlotRequest, now: number): number {
 		const mean = evidence.meanLatency(request.service, now) ?? 0;
-		const {failureRisk} = evidence.conditionOf(target.incarnation, target.service, now);
 		const limits = failureRisk > suspicion ? patience.suspected : patience.trusted;
 		return Math.max(mean * limits.means, objectiveOf(request.route) * limits.objectives);
 	}
@@ -350,28 +353,13 @@
 		};
 	}
 
-	/** What decided, with the age of what the platform said of the target. */
-	function basisOf(
-		target: KnownTarget,
-		{candidates, unusedFor}: {readonly candidates: number; readonly unusedFor: number},
-		now: number,
-	) {
-		const condition = evidence.conditionOf(target.incarnation, target.service, now);
-		return {
-			candidates,
-			risk: roundFraction(condition.failureRisk),
-			load: loadAt(target, now),
-			unusedFor: Math.round(unusedFor),
-			listedFor: Math.round(now - target.listedAt),
-		};
-	}
-
 	function grant(
 		target: KnownTarget,
 		request: SlotRequest,
 		candidates: number,
 		now: number,
 	): SlotGrant {
+		const {failureRisk} = evidence.conditionOf(target.incarnation, target.service, now);
 		const unusedFor = usage.unusedFor(target, now);
 		changeInFlight(target.incarnation, 1);
 		usage.note(target.incarnation, now);
@@ -380,8 +368,15 @@
 			target: target.definition,
 			signal: createStopController().signal,
 			keepsConnection: true,
-			basis: basisOf(target, {candidates, unusedFor}, now),
-			patience: patienceOf(target, request, now),
+			// What decided, with the age of what the platform said of the target.
+			basis: {
+				candidates,
+				risk: roundFraction(failureRisk),
+				load: loadAt(target, now),
+				unusedFor: Math.round(unusedFor),
+				listedFor: Math.round(now - target.listedAt),
+			},
+			patience: patienceOf(failureRisk, request, now),
 			longestIdle: connectionTrust.longestIdle(request.service, now),
 			isInForce: () => request.route.open || !configuration.isUncertain(),
 			release(outcome) {
@@ -472,13 +467,10 @@
 			}
 		},
 		watchCoverage(now) {
-			for (const service of Object.keys(configuration.tables?.document.services ?? {})) {
-				noteCoverage(service, now);
+			for (const [service, serviceCoverage] of coverage(now)) {
+				noteCoverage(service, serviceCoverage, now);
 			}
 		},
-		coverage(now) {
-			const services = Object.keys(configuration.tables?.document.services ?? {});
-			return new Map(services.map(service => [service, coverageOf(service, now)]));
-		},
+		coverage,
 	};
 }
--- a/packages/policy-routing/src/service-coverage.ts
+++ b/packages/policy-routing/src/service-coverage.ts
@@ -1,6 +1,6 @@
 /**
- * Compares the targets of a service that get requests with those that could, and says when the share
- * falls below the floor of the service or recovers.
+ * Compares the targets of a service that get requests with those that could, and counts how many of
+ * them the floor of the service asks for.
  */
 import {type KnownTarget} from './target-directory.js';
 
--- a/packages/policy-routing/src/target-choice.ts
+++ b/packages/policy-routing/src/target-choice.ts
@@ -6,10 +6,10 @@
  *
  * What is believed of a target changes only with requests to it, so a belief that keeps requests away
  * would keep itself up while the load narrows to the targets that proved themselves. The loss from
- * beliefs therefore shrinks while nobody asks the target: one without news is tried within about a
- * second, one that failed after some seconds. Below the floor of the service the least suspected of
- * the unused targets are tried whatever is believed of them and wherever they are, because failures
- * of so many at once mostly have a cause outside of them.
+ * beliefs therefore shrinks a little while nobody asks the target: one without news is tried within
+ * about a second, while one that failed waits until the belief has faded. Below the floor of the
+ * service the least suspected of the unused targets are tried whatever is believed of them and
+ * wherever they are, because failures of so many at once mostly have a cause outside of them.
  */
 import {drawWeighted, type Random} from '@shallotpond/kernel/random';
 import {floorCount} from './service-coverage.js';
