Use one default floor, one bound of rates and one lowest server error

platform-settings repeated the default of the configuration and the shape of AllowanceBound, and the forwarder the status 500 beside its constant.

--- a/packages/configuration/src/document-schema.ts
+++ b/packages/configuration/src/document-schema.ts
@@ -19,6 +19,8 @@
 const milliseconds = (minimum: number, maximum: number) =>
 	z.number().int().min(minimum).max(maximum);
 const longestTimeout = 3_600_000;
+/** Part of the healthy capacity of a service that ejections must leave where nothing is said. */
+export const defaultFloor = 0.7;
 
 const fleet = z.strictObject({
 	/** Upper bound of instances alive at once (D of the design page). */
@@ -51,7 +53,7 @@
 	/** Shortest time between two steps of the warm-up. */
 	warmUpStep: milliseconds(0, longestTimeout).default(2000),
 	/** Part of the healthy capacity that ejections must leave, 0 to 1. */
-	floor: z.number().min(0).max(1).default(0.7),
+	floor: z.number().min(0).max(1).default(defaultFloor),
 	/** Targets in one shard, each with one coordinator. */
 	shardSize: z.number().int().min(1).max(256).default(4),
 	tls: z.boolean().default(false),
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -286,7 +286,9 @@
 	): Setback | undefined {
 		const setback: Setback = {kind: 'setback', code: 'target-failed', runState: 'ran'};
 		const isReplaced =
-			answer.statusCode! >= 500 && !progress.hasBegun && mayRetry(request, progress, setback);
+			answer.statusCode! >= lowestServerError &&
+			!progress.hasBegun &&
+			mayRetry(request, progress, setback);
 		progress.isRetryPaid = isReplaced;
 		return isReplaced ? setback : undefined;
 	}
@@ -412,7 +414,7 @@
 		const {answer} = attempt;
 		const {end} = await pump(request, progress, grant, answer);
 		if (end === 'complete') {
-			release(progress, grant, times, answer.statusCode! >= 500 ? 'error' : 'ok');
+			release(progress, grant, times, answer.statusCode! >= lowestServerError ? 'error' : 'ok');
 			endAnswer(request.response, answer);
 			return {kind: 'delivered'};
 		}
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -3,8 +3,10 @@
  * not read here belong to other products or to options that are not used.
  */
 import {readFile} from 'node:fs/promises';
+import {defaultFloor} from '@shallotpond/configuration/document-schema';
 import {parseSocketAddress, type SocketAddress} from '@shallotpond/kernel/setting-kinds';
 import {PlatformError} from '@shallotpond/io-platform/platform-error';
+import {type AllowanceBound} from '@shallotpond/policy-routing/workspace-allowance';
 
 export type PlatformSettings = {
 	/** Name of the machine, for logs. */
@@ -36,20 +38,12 @@
 		readonly window: number;
 	};
 	/** Over what span the rates of workspaces hold, and how far the fleet may exceed them. */
-	readonly allowanceBound: {
-		/** Milliseconds. */
-		readonly window: number;
-		readonly excess: number;
-		/** Requests. */
-		readonly slack: number;
-	};
+	readonly allowanceBound: AllowanceBound;
 };
 
 type Fields = Readonly<Record<string, unknown>>;
 
 const millisecondsPerSecond = 1000;
-/** As in the product's own configuration, for a platform that sets none. */
-const defaultFloor = 0.7;
 
 /** Collects every problem, so that one look at the log shows all of them. */
 class SettingsReader {
