--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -136,6 +136,7 @@
 				inFlight: routing.inFlight(),
 				workspaces: new Map(),
 				crashes: [],
+				leavingTargets: [],
 				configuration: {version: 1, revision: 1, confirmedAgo: 0},
 				isLeaving: false,
 			}),
@@ -143,6 +144,7 @@
 			onLoad: routing.recordLoad,
 			onUsage: () => undefined,
 			onCrashes: () => undefined,
+			onLeavingTargets: () => undefined,
 			onConfiguration: () => undefined,
 		});
 		return {
--- a/packages/gateway/src/__tests__/routing-service.test.ts
+++ b/packages/gateway/src/__tests__/routing-service.test.ts
@@ -14,6 +14,7 @@
 } from '@shallotpond/policy-routing/target-directory';
 import {createTargetEvidence} from '@shallotpond/policy-routing/target-evidence';
 import {createManualClock, type ManualClock} from '@shallotpond/testkit/manual-clock';
+import {type Refusal} from '@shallotpond/kernel/attempt-outcome';
 import {type SlotGrant} from '@shallotpond/io-http/request-policy';
 import {createRoutingService, type RoutingService} from '../routing-service.js';
 import {createFixedConfiguration} from './fixed-configuration.js';
@@ -48,11 +49,11 @@
 		});
 	});
 
-	function addTarget(id: string, coldFor = 0): void {
+	function addTarget(id: string, coldFor = 0, startTime = 1): void {
 		directory.addOrUpdate(
 			{
 				id,
-				startTime: 1,
+				startTime,
 				service: 'orders',
 				address: '10.0.0.1:80',
 				failureDomain: 'north',
@@ -141,4 +142,63 @@
 		directory.remove('a');
 		expect(routing.isUsable(grant.target)).toBe(false);
 	});
+
+	test('a target that announced its stop gets no request, whatever its entry says, until it starts anew', () => {
+		addTarget('a');
+		const grant = acquire() as SlotGrant;
+		const waiting = acquire() as SlotGrant;
+		grant.recordNotice?.({isLeaving: true, holdOff: undefined});
+		expect(routing.isUsable(waiting.target)).toBe(false);
+		expect(waiting.signal.aborted).toBe(false);
+		addTarget('a');
+		directory.remove('a');
+		addTarget('a');
+		expect(acquire()).toMatchObject({kind: 'refused', code: 'no-target'});
+		expect(routing.targetsInUse(clock.monotonic()).get('orders')?.usable).toBe(0);
+		addTarget('a', 0, 2);
+		expect(acquire()).toMatchObject({kind: 'granted'});
+	});
+
+	test('without a start time, the successor of an unlisted target is free', () => {
+		addTarget('a', 0, 0);
+		(acquire() as SlotGrant).recordNotice?.({isLeaving: true, holdOff: undefined});
+		addTarget('a', 0, 0);
+		routing.prune(clock.monotonic());
+		expect(acquire()).toMatchObject({kind: 'refused'});
+		directory.remove('a');
+		routing.prune(clock.monotonic());
+		addTarget('a', 0, 0);
+		expect(acquire()).toMatchObject({kind: 'granted'});
+	});
+
+	test('a stop that another instance reported counts, and is not reported again', () => {
+		addTarget('a');
+		addTarget('b');
+		routing.mergeLeaving(['a@1'], clock.monotonic());
+		const chosen = Array.from({length: 50}, () => (acquire() as SlotGrant).target.id);
+		expect(new Set(chosen)).toEqual(new Set(['b']));
+		expect(routing.recentlyLeaving(clock.monotonic())).toEqual([]);
+	});
+
+	test('targets that asked for a pause get no request meanwhile, and callers learn when to return', () => {
+		addTarget('a');
+		addTarget('b');
+		const grants = [acquire(), acquire(), acquire(), acquire()] as SlotGrant[];
+		for (const grant of grants) {
+			const holdOff = grant.target.id === 'a' ? 3000 : 5000;
+			grant.recordNotice?.({isLeaving: false, holdOff});
+		}
+
+		for (const id of ['a', 'b']) {
+			expect(grants.map(grant => grant.target.id)).toContain(id);
+		}
+
+		const refusal = acquire();
+		expect(refusal).toMatchObject({kind: 'refused', code: 'targets-held-off', runState: 'not-run'});
+		const {retryAfter = 0} = refusal as Refusal;
+		expect(retryAfter).toBeGreaterThan(3000);
+		expect(retryAfter).toBeLessThan(3000 + 1200);
+		clock.advance(3000);
+		expect(acquire()).toMatchObject({kind: 'granted', target: {id: 'a'}});
+	});
 });
--- a/packages/gateway/src/current-configuration.ts
+++ b/packages/gateway/src/current-configuration.ts
@@ -5,7 +5,7 @@
  */
 import {type ConfigurationDocument} from '@shallotpond/configuration/document-schema';
 import {createLookupTables, type LookupTables} from '@shallotpond/configuration/lookup-tables';
-import {type Clock} from '@shallotpond/kernel/clock';
+import {readClockOffset, type Clock} from '@shallotpond/kernel/clock';
 import {type KernelService} from '@shallotpond/kernel/kernel';
 import {type EventLog} from '@shallotpond/observability/event-log';
 
@@ -18,8 +18,12 @@
 	 * restore an old version. The states of failure domains may change within a version.
 	 */
 	adopt(document: ConfigurationDocument): void;
-	/** Records that the current configuration was the newest at `at` (monotonic milliseconds). */
-	confirm(at: number): void;
+	/**
+	 * Records that the current configuration was the newest at `at` (monotonic milliseconds).
+	 * `clockOffset` is the result of `readClockOffset` when the confirmation was requested: if the
+	 * machine was suspended before the response was read, the confirmation is older than `at` says.
+	 */
+	confirm(at: number, clockOffset: number): void;
 	/**
 	 * Milliseconds since the configuration was last known to be the newest; infinite if it never was.
 	 */
@@ -67,14 +71,10 @@
 	const {clock, log, revocationLimit} = options;
 	let tables: LookupTables | undefined;
 	let confirmedAt = Number.NEGATIVE_INFINITY;
-	let clockOffset = 0;
-
-	function readClockOffset(): number {
-		return clock.wall().getTime() - clock.monotonic();
-	}
+	let confirmedOffset = 0;
 
 	function confirmedAgo(): number {
-		const suspendedFor = readClockOffset() - clockOffset;
+		const suspendedFor = readClockOffset(clock) - confirmedOffset;
 		return clock.monotonic() - confirmedAt + (suspendedFor > clockToleranceMs ? suspendedFor : 0);
 	}
 
@@ -102,10 +102,10 @@
 				options.onDomainReturned(domain);
 			}
 		},
-		confirm(at) {
+		confirm(at, clockOffset) {
 			if (at > confirmedAt) {
 				confirmedAt = at;
-				clockOffset = readClockOffset();
+				confirmedOffset = clockOffset;
 			}
 		},
 		confirmedAgo,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -193,6 +193,7 @@
 				confirmedAgo: Math.round(Math.min(configuration.confirmedAgo(), 1_000_000)),
 			},
 			isLeaving: isStopping,
+			leavingTargets: routing.recentlyLeaving(clock.monotonic()),
 		}),
 		onTargets: routing.merge,
 		onLoad: routing.recordLoad,
@@ -200,6 +201,7 @@
 			rateLimiter.recordUsage(workspace, usage, now);
 		},
 		onCrashes: crashes.merge,
+		onLeavingTargets: routing.mergeLeaving,
 		onConfiguration(state, from) {
 			published.recordMemberState(state, from);
 		},
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -10,7 +10,7 @@
 import {backOffDelay} from '@shallotpond/io-platform/back-off';
 import {createCallLoop} from '@shallotpond/io-platform/call-loop';
 import {PlatformError} from '@shallotpond/io-platform/platform-error';
-import {type Clock} from '@shallotpond/kernel/clock';
+import {readClockOffset, type Clock} from '@shallotpond/kernel/clock';
 import {type KernelService} from '@shallotpond/kernel/kernel';
 import {type Random} from '@shallotpond/kernel/random';
 import {type EventLog} from '@shallotpond/observability/event-log';
@@ -48,8 +48,11 @@
 	/** Replaces all items. `away` is the preceding time without contact to any source in ms. */
 	takeSnapshot(items: readonly PublishedItem[], away: number): void;
 	takeChange(item: PublishedItem): void;
-	/** Records that everything published up to `at` (monotonic milliseconds) has been passed on. */
-	confirm(at: number): void;
+	/**
+	 * Records that everything published up to `at` (monotonic milliseconds) has been passed on.
+	 * `clockOffset` is the result of `readClockOffset` when the source was asked.
+	 */
+	confirm(at: number, clockOffset: number): void;
 	/** Milliseconds since the latest time that was passed to `confirm`. */
 	confirmedAgo(): number;
 };
@@ -148,19 +151,20 @@
 		}
 	}
 
-	function recordContact(confirmedAt: number): void {
+	function recordContact(confirmedAt: number, clockOffset: number): void {
 		lastContactAt = clock.monotonic();
-		receiver.confirm(confirmedAt);
+		receiver.confirm(confirmedAt, clockOffset);
 	}
 
 	async function readStore(signal: AbortSignal): Promise<void> {
 		const startedAt = clock.monotonic();
+		const clockOffset = readClockOffset(clock);
 		const {revision} = published;
 		if (revision === undefined || isHistoryGone || isStoreLost) {
 			const snapshot = await store.readAll(signal);
 			takeSnapshot(snapshot.items, snapshot.revision);
 			isHistoryGone = false;
-			recordContact(startedAt);
+			recordContact(startedAt, clockOffset);
 			return;
 		}
 
@@ -177,11 +181,12 @@
 		// wait. Any other response confirms only the time of the request.
 		const isWaitOver = clock.monotonic() - startedAt >= wait;
 		const isUnchangedAtEnd = changes.items.length === 0 && isWaitOver;
-		recordContact(isUnchangedAtEnd ? startedAt + wait : startedAt);
+		recordContact(isUnchangedAtEnd ? startedAt + wait : startedAt, clockOffset);
 	}
 
 	async function readMember(address: string, wait: number, signal: AbortSignal): Promise<void> {
 		const startedAt = clock.monotonic();
+		const clockOffset = readClockOffset(clock);
 		const after = published.revision;
 		const response = await fetchPublishedChanges({
 			member: {host: address, port: options.port},
@@ -206,7 +211,7 @@
 
 		// The member held the request for `waited` ms, so it responded at `startedAt + waited` or
 		// later; the time that the response took to arrive is unknown.
-		recordContact(startedAt + response.waited - response.confirmedAgo);
+		recordContact(startedAt + response.waited - response.confirmedAgo, clockOffset);
 	}
 
 	function recordStoreState(isLost: boolean, reason: string | undefined): void {
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -4,7 +4,11 @@
  * made in `policy-routing`.
  */
 import {type EventLog} from '@shallotpond/observability/event-log';
-import {type AttemptOutcome, type Refusal} from '@shallotpond/kernel/attempt-outcome';
+import {
+	type AttemptOutcome,
+	type Refusal,
+	type TargetNotice,
+} from '@shallotpond/kernel/attempt-outcome';
 import {
 	type RouteDefinition,
 	type TargetDefinition,
@@ -27,10 +31,13 @@
 import {createTargetSelector} from '@shallotpond/policy-routing/target-selector';
 import {
 	targetIdOf,
+	unknownStartTime,
 	type KnownTarget,
 	type TargetDirectory,
 } from '@shallotpond/policy-routing/target-directory';
 import {type TargetEvidence} from '@shallotpond/policy-routing/target-evidence';
+import {createTargetNotices} from '@shallotpond/policy-routing/target-notices';
+import {drawRetryAfter} from '@shallotpond/policy-routing/retry-after';
 import {createTargetIdleTimes} from '@shallotpond/policy-routing/target-idle-times';
 import {
 	type Member,
@@ -45,7 +52,7 @@
 	acquire(request: SlotRequest): SlotGrant | Refusal;
 	/**
 	 * Whether a target that was chosen earlier may still get requests: it is listed at the same
-	 * address in a failure domain that is in service.
+	 * address in a failure domain that is in service, and has not asked for no more requests since.
 	 */
 	isUsable(target: TargetDefinition): boolean;
 	/**
@@ -58,6 +65,10 @@
 	 * previous report.
 	 */
 	recordLoad(from: Member, loads: readonly TargetLoad[], now: number): void;
+	/** Adds targets that other instances reported as leaving, by incarnation. */
+	mergeLeaving(incarnations: readonly string[], now: number): void;
+	/** Targets that lately told this instance that they are leaving, by incarnation. */
+	recentlyLeaving(now: number): readonly string[];
 	/** Requests of this instance that are currently at targets. */
 	inFlight(): TargetLoad[];
 	/** Outcomes that this instance observed since the last call. */
@@ -93,6 +104,11 @@
  * which can serve only few requests, as after a start.
  */
 const coldRateFraction = 0.7;
+/**
+ * Milliseconds for which a target counts as leaving after it has said so. The knowledge belongs to
+ * one start of the target, which never returns to service; some serve on for many seconds.
+ */
+const leavingRetentionMs = 600_000;
 /** Time over which the request rate of a service is measured. */
 const rateWindowMs = 5000;
 /** How long the connection of a served request is expected to stay open. */
@@ -156,10 +172,18 @@
 	/** Incarnations that have been logged as suspected and not yet as trusted again. */
 	const suspectedTargets = new Set<string>();
 	const idleTimes = createTargetIdleTimes();
+	const notices = createTargetNotices({leavingRetention: leavingRetentionMs});
 	/** Services whose load has narrowed to fewer targets than their floor requires. */
 	const narrowedServices = new Set<string>();
 	const startedAt = clock.monotonic();
 
+	/** Targets of the service that may get requests, also by their own notices. */
+	function usableTargets(service: string, now: number): KnownTarget[] {
+		return directory
+			.usable(service, now)
+			.filter(({incarnation}) => notices.isOpen(incarnation, now));
+	}
+
 	function countRequests(service: string, amount: number, now: number): void {
 		let counter = requestCounters.get(service);
 		if (counter === undefined) {
@@ -188,7 +212,7 @@
 		const isNew = now - startedAt < rateWindowMs;
 		// A new process has not observed the load yet and must not send it to cold targets. It assumes
 		// `coldRate` requests per second for each usable target.
-		const assumed = isNew ? directory.usable(service, now).length * coldRate : 0;
+		const assumed = isNew ? usableTargets(service, now).length * coldRate : 0;
 		const rate = Math.max(observed, assumed, 1);
 		return Math.min(1, (coldRate * coldRateFraction) / rate);
 	}
@@ -256,7 +280,7 @@
 
 	function targetsInUseOf(service: string, now: number): TargetsInUse {
 		return countTargetsInUse({
-			targets: directory.usable(service, now).filter(target => isInActiveDomain(target)),
+			targets: usableTargets(service, now).filter(target => isInActiveDomain(target)),
 			unusedFor: target => idleTimes.unusedFor(target, now),
 		});
 	}
@@ -388,16 +412,64 @@
 		return Math.max(mean * factors.means, latencyObjectiveOf(request.route) * factors.objectives);
 	}
 
-	function refuse(service: string, code: string): Refusal {
+	function refuse(service: string, code: string, retryAfter?: number): Refusal {
 		return {
 			kind: 'refused',
 			code,
 			status: 503,
 			detail: `no target of ${service} can take the request`,
 			runState: 'not-run',
+			retryAfter,
 		};
 	}
 
+	/**
+	 * The refusal if no target is usable. If targets only asked for a pause, it gives the time at
+	 * which the first of them takes requests again, with a random addition that spreads the retries.
+	 */
+	function refuseWithoutTarget({service, route}: SlotRequest, now: number): Refusal {
+		const ends = directory
+			.usable(service, now)
+			.map(({incarnation}) => notices.heldOffUntil(incarnation, now))
+			.filter(end => end !== undefined);
+		if (ends.length === 0) {
+			return refuse(service, 'no-target');
+		}
+
+		const pause = Math.min(...ends) - now;
+		return refuse(
+			service,
+			'targets-held-off',
+			pause + drawRetryAfter(latencyObjectiveOf(route), random),
+		);
+	}
+
+	/**
+	 * Forgets the notices of unlisted targets without a start time: their incarnation would be that of
+	 * their successors, too.
+	 */
+	function forgetUnidentifiedTargets(now: number): void {
+		for (const incarnation of notices.closed(now)) {
+			const id = targetIdOf(incarnation);
+			const listed = directory.find(id);
+			if (listed === undefined && incarnation === `${id}@${unknownStartTime}`) {
+				notices.forget(incarnation);
+			}
+		}
+	}
+
+	function recordNotice({incarnation, service}: KnownTarget, notice: TargetNotice): void {
+		const change = notices.record(incarnation, notice, clock.monotonic());
+		if (change.isNewlyLeaving) {
+			log.write('target-announced-leaving', {target: incarnation, service});
+			options.onFailure();
+		}
+
+		if (change.isNewlyHeldOff) {
+			log.write('target-held-off', {target: incarnation, service, for: notice.holdOff});
+		}
+	}
+
 	function grant(
 		target: KnownTarget,
 		request: SlotRequest,
@@ -424,6 +496,9 @@
 			silenceTimeout: silenceTimeoutOf(failureRisk, request, now),
 			maxIdleTime: connectionReuse.maxIdleTime(request.service, now),
 			isInForce: () => request.route.open || !configuration.isUncertain(),
+			recordNotice(notice) {
+				recordNotice(target, notice);
+			},
 			release(outcome) {
 				recordOutcome(target, request, outcome);
 			},
@@ -434,9 +509,9 @@
 		acquire(request) {
 			const now = clock.monotonic();
 			countRequests(request.service, 1, now);
-			const candidates = directory.usable(request.service, now);
+			const candidates = usableTargets(request.service, now);
 			if (candidates.length === 0) {
-				return refuse(request.service, 'no-target');
+				return refuseWithoutTarget(request, now);
 			}
 
 			const target = selector.choose({
@@ -455,7 +530,11 @@
 		},
 		isUsable(target) {
 			const known = directory.find(target.id);
-			return known?.definition.address === target.address && isInActiveDomain(known);
+			return (
+				known?.definition.address === target.address &&
+				isInActiveDomain(known) &&
+				notices.isOpen(known.incarnation, clock.monotonic())
+			);
 		},
 		merge(reports, now) {
 			for (const {incarnation, stale, ...counts} of reports) {
@@ -480,6 +559,8 @@
 				idleTimes.recordUse(incarnation, now);
 			}
 		},
+		mergeLeaving: notices.mergeLeaving,
+		recentlyLeaving: notices.recentlyLeaving,
 		inFlight: () => [...inFlight],
 		takeTargetReports() {
 			const reports = new Map<string, TargetReport>();
@@ -500,6 +581,8 @@
 		prune(now) {
 			evidence.prune(now);
 			idleTimes.prune(now);
+			notices.prune(now);
+			forgetUnidentifiedTargets(now);
 			for (const incarnation of suspectedTargets) {
 				if (directory.find(targetIdOf(incarnation))?.incarnation !== incarnation) {
 					suspectedTargets.delete(incarnation);
--- a/packages/io-fleet/src/__tests__/fleet-codec.test.ts
+++ b/packages/io-fleet/src/__tests__/fleet-codec.test.ts
@@ -3,10 +3,25 @@
  * identified only by their position, and against datagrams that are not fleet messages, which must
  * not cause an exception.
  */
+import process from 'node:process';
 import {describe, expect, test} from '@jest/globals';
+import fc from 'fast-check';
+import {Packr} from 'msgpackr';
 import {type FleetMessage} from '@shallotpond/policy-fleet/fleet-message';
 import {decodeFleetMessages, encodeFleetMessage} from '../fleet-codec.js';
 
+function decode(bytes: Uint8Array) {
+	let refused = 0;
+	const messages = decodeFleetMessages(bytes, () => {
+		refused++;
+	});
+	return {messages, refused};
+}
+
+const packr = new Packr({useRecords: false});
+const pack = (value: unknown): Uint8Array => packr.pack(value);
+const unpack = (bytes: Uint8Array): unknown => packr.unpack(bytes);
+
 const from = {address: '10.0.0.1', failureDomain: 'north', startedAt: 1_764_850_000_000};
 const messages: readonly FleetMessage[] = [
 	{kind: 'roster-request', from},
@@ -21,17 +36,18 @@
 		workspaces: [{workspace: 'reed', asked: 21, admitted: 17, before: {asked: 18, admitted: 15}}],
 		crashes: [{fingerprint: 'a1b2', target: 'i-1'}],
 		isLeaving: false,
+		leavingTargets: ['i-2@7'],
 	},
 ];
 
 describe('codec of fleet messages', () => {
 	test.each(messages)('a $kind is the same after encoding and decoding', message => {
-		expect(decodeFleetMessages(encodeFleetMessage(message))).toEqual([message]);
+		expect(decode(encodeFleetMessage(message))).toEqual({messages: [message], refused: 0});
 	});
 
 	test('messages that share a datagram keep their order', () => {
 		const bytes = messages.flatMap(message => [...encodeFleetMessage(message)]);
-		expect(decodeFleetMessages(Uint8Array.from(bytes))).toEqual(messages);
+		expect(decode(Uint8Array.from(bytes))).toEqual({messages, refused: 0});
 	});
 
 	test('bytes that are not a message are rejected without an exception', () => {
@@ -41,7 +57,72 @@
 			[0x93, 1, 2, 3],
 			[...'not a message'].map(character => character.codePointAt(0)!),
 		]) {
-			expect(decodeFleetMessages(Uint8Array.from(bytes))).toBeUndefined();
+			const {messages: decoded, refused} = decode(Uint8Array.from(bytes));
+			expect(decoded).toEqual([]);
+			expect(refused).toBeGreaterThan(0);
 		}
 	});
+
+	test('a report of an instance that does not know leaving targets is accepted', () => {
+		const report = messages[2] as FleetMessage & {kind: 'report'};
+		const values = unpack(encodeFleetMessage(report)) as unknown[];
+		const bytes = pack(values.slice(0, -1));
+		expect(decode(bytes).messages).toEqual([{...report, leavingTargets: []}]);
+	});
+
+	/** Positions of a report: 3 to 12 are its fields, 2 is the sender. */
+	const faults: ReadonlyArray<readonly [string, number, unknown]> = [
+		['a host name as address', 2, ['example.com', 'north', 1]],
+		['an object as address', 2, [{}, 'north', 1]],
+		['no sender', 2, null],
+		['a flag that is a text', 3, 'yes'],
+		['a version that is not a number', 4, Number.NaN],
+		['a negative revision', 5, -1],
+		['a number that is too large', 5, 1e300],
+		['targets that are no list', 7, 5],
+		['a target that is no list', 7, [5]],
+		['a deeply nested target', 7, [[[[[[]]]]]]],
+		['a count of another type', 7, [['i-1@5', '3', 0, 0, 0, 0]]],
+		['no workspaces', 8, null],
+		['a load that is no list', 10, [7]],
+		['loads that are no list', 10, {}],
+		['a long name', 11, [['a'.repeat(2000), 'i-1']]],
+		['leaving targets that are no names', 12, [1]],
+	];
+	test.each(faults)(
+		'a report with %s is refused, and the next message is kept',
+		(_what, at, value) => {
+			const values = unpack(encodeFleetMessage(messages[2]!)) as unknown[];
+			values[at] = value;
+			const bytes = Uint8Array.from([...pack(values), ...encodeFleetMessage(messages[0]!)]);
+			expect(decode(bytes)).toEqual({messages: [messages[0]], refused: 1});
+		},
+	);
+
+	test('random and damaged datagrams neither cause an exception nor an incomplete message', () => {
+		const runs = Number(process.env.SHALLOTPOND_TEST_RUNS ?? 2000);
+		const seed = Number(process.env.SHALLOTPOND_TEST_SEED ?? 20_261_205);
+		const damaged = fc
+			.tuple(fc.constantFrom(...messages), fc.nat(200), fc.nat(255))
+			.map(([message, at, value]) => {
+				const bytes = Uint8Array.from(encodeFleetMessage(message));
+				bytes[at % bytes.length] = value;
+				return bytes;
+			});
+		const wrongFields = fc.tuple(fc.nat(9), fc.anything({maxDepth: 3})).map(([at, value]) => {
+			const values = unpack(encodeFleetMessage(messages[2]!)) as unknown[];
+			values[at + 3] = value;
+			return pack(values);
+		});
+		const nested = fc.nat(60_000).map(depth => new Uint8Array(depth).fill(0x91));
+		const input = fc.oneof(fc.uint8Array({maxLength: 200}), damaged, wrongFields, nested);
+		fc.assert(
+			fc.property(input, bytes => {
+				for (const message of decode(bytes).messages) {
+					expect(decode(encodeFleetMessage(message)).messages).toEqual([message]);
+				}
+			}),
+			{numRuns: runs, seed},
+		);
+	});
 });
--- a/packages/io-fleet/src/datagram-transport.ts
+++ b/packages/io-fleet/src/datagram-transport.ts
@@ -22,7 +22,7 @@
 	readonly port: number;
 	readonly onMessage: (message: FleetMessage) => void;
 	readonly count: (counter: DatagramCounter, amount: number) => void;
-	/** Called for an error of the open socket. */
+	/** Called for an error of the open socket, or of `onMessage`. */
 	readonly onError: (error: unknown) => void;
 };
 
@@ -73,14 +73,16 @@
 	let socket: Socket | undefined;
 
 	function receive(bytes: Uint8Array): void {
-		const messages = decodeFleetMessages(bytes);
-		if (messages === undefined) {
+		const messages = decodeFleetMessages(bytes, () => {
 			options.count('datagrams-refused', 1);
-			return;
-		}
-
+		});
 		for (const message of messages) {
-			options.onMessage(message);
+			try {
+				options.onMessage(message);
+			} catch (error) {
+				// An exception here would end the process and with it the requests in progress.
+				options.onError(error);
+			}
 		}
 	}
 
--- a/packages/io-fleet/src/fleet-codec.ts
+++ b/packages/io-fleet/src/fleet-codec.ts
@@ -3,16 +3,21 @@
  * position, because field names would make up most of a message, and traffic between failure
  * domains is expensive. A datagram holds one or more messages in sequence.
  */
+import {isIP} from 'node:net';
 import {Packr} from 'msgpackr';
 import {
 	type FleetMessage,
 	type Member,
 	type FleetReport,
+	type TargetCrash,
+	type TargetLoad,
+	type TargetReport,
+	type WorkspaceUsageTotal,
 } from '@shallotpond/policy-fleet/fleet-message';
 
 const packr = new Packr({useRecords: false});
 
-/** First element of every message; datagrams with a message of another version are rejected. */
+/** First element of every message; messages of another version are rejected. */
 const formatVersion = 3;
 
 /** Address, failure domain and start. */
@@ -24,9 +29,80 @@
 	member.startedAt,
 ];
 
-function toMember(fields: unknown): Member {
-	const [address, failureDomain, startedAt] = fields as MemberFields;
-	return {address, failureDomain, startedAt};
+/** Characters; more than any name that the platform allows. */
+const maxTextLength = 1000;
+
+function reject(expected: string): never {
+	throw new TypeError(`a field of a fleet message is not ${expected}`);
+}
+
+function toText(value: unknown): string {
+	return typeof value === 'string' && value.length <= maxTextLength ? value : reject('a name');
+}
+
+/** A number that is not negative and exact in arithmetic with others of its kind. */
+function toCount(value: unknown): number {
+	return typeof value === 'number' && value >= 0 && value <= Number.MAX_SAFE_INTEGER
+		? value
+		: reject('a count');
+}
+
+function toFlag(value: unknown): boolean {
+	return typeof value === 'boolean' ? value : reject('a flag');
+}
+
+function toList<Item>(value: unknown, toItem: (item: unknown) => Item): Item[] {
+	return Array.isArray(value) ? value.map(item => toItem(item)) : reject('a list');
+}
+
+function toFields(value: unknown): unknown[] {
+	return Array.isArray(value) ? (value as unknown[]) : reject('a list of fields');
+}
+
+/** Messages are sent to the addresses of members, so no name may get there that would be resolved. */
+function toAddress(value: unknown): string {
+	return typeof value === 'string' && isIP(value) !== 0 ? value : reject('an IP address');
+}
+
+function toMember(value: unknown): Member {
+	const [address, failureDomain, startedAt] = toFields(value);
+	return {
+		address: toAddress(address),
+		failureDomain: toText(failureDomain),
+		startedAt: toCount(startedAt),
+	};
+}
+
+function toTargetReport(value: unknown): TargetReport {
+	const [incarnation, good, bad, busy, stale, latency] = toFields(value);
+	return {
+		incarnation: toText(incarnation),
+		good: toCount(good),
+		bad: toCount(bad),
+		busy: toCount(busy),
+		stale: toCount(stale),
+		latency: toCount(latency),
+	};
+}
+
+function toUsageTotal(value: unknown): WorkspaceUsageTotal {
+	const [workspace, asked, admitted, askedBefore, admittedBefore] = toFields(value);
+	return {
+		workspace: toText(workspace),
+		asked: toCount(asked),
+		admitted: toCount(admitted),
+		before: {asked: toCount(askedBefore), admitted: toCount(admittedBefore)},
+	};
+}
+
+function toTargetLoad(value: unknown): TargetLoad {
+	const [incarnation, requests] = toFields(value);
+	return [toText(incarnation), toCount(requests)];
+}
+
+function toCrash(value: unknown): TargetCrash {
+	const [fingerprint, target] = toFields(value);
+	return {fingerprint: toText(fingerprint), target: toText(target)};
 }
 
 /** The fields of a report, in the order in which `encoders.report` lists them. */
@@ -40,6 +116,7 @@
 	boolean,
 	Array<[string, number]>,
 	Array<[string, string]>,
+	string[],
 ];
 
 const encoders = {
@@ -66,6 +143,7 @@
 		report.isLeaving,
 		report.inFlight.map(([incarnation, requests]) => [incarnation, requests]),
 		report.crashes.map(({fingerprint, target}) => [fingerprint, target]),
+		[...report.leavingTargets],
 	],
 	'roster-request': () => [],
 	'roster-answer': (message: FleetMessage & {kind: 'roster-answer'}) =>
@@ -86,36 +164,32 @@
 			isLeaving,
 			inFlight,
 			crashes,
-		] = fields as ReportFields;
+			// Instances of an earlier version do not send this field.
+			leavingTargets = [],
+		] = fields;
 		return {
 			kind: 'report',
 			from,
-			isRelayed,
-			configuration: {version, revision, confirmedAgo: confirmedAgo ?? undefined},
-			targets: targets.map(([incarnation, good, bad, busy, stale, latency]) => ({
-				incarnation,
-				good,
-				bad,
-				busy,
-				stale,
-				latency,
-			})),
-			workspaces: workspaces.map(([workspace, asked, admitted, askedBefore, admittedBefore]) => ({
-				workspace,
-				asked,
-				admitted,
-				before: {asked: askedBefore, admitted: admittedBefore},
-			})),
-			isLeaving,
-			inFlight,
-			crashes: crashes.map(([fingerprint, target]) => ({fingerprint, target})),
+			isRelayed: toFlag(isRelayed),
+			configuration: {
+				version: toCount(version),
+				revision: toCount(revision),
+				confirmedAgo:
+					confirmedAgo === undefined || confirmedAgo === null ? undefined : toCount(confirmedAgo),
+			},
+			targets: toList(targets, toTargetReport),
+			workspaces: toList(workspaces, toUsageTotal),
+			isLeaving: toFlag(isLeaving),
+			inFlight: toList(inFlight, toTargetLoad),
+			crashes: toList(crashes, toCrash),
+			leavingTargets: toList(leavingTargets, toText),
 		};
 	},
 	'roster-request': from => ({kind: 'roster-request', from}),
 	'roster-answer': (from, fields) => ({
 		kind: 'roster-answer',
 		from,
-		members: fields.map(member => toMember(member)),
+		members: toList(fields, toMember),
 	}),
 };
 
@@ -129,32 +203,40 @@
 	]);
 }
 
-function decodeMessage(value: unknown): FleetMessage | undefined {
-	const [version, kind, from, ...fields] = value as [
-		number,
-		FleetMessage['kind'],
-		unknown,
-		...unknown[],
-	];
-	if (version !== formatVersion || !Object.hasOwn(decoders, kind)) {
-		return undefined;
+/** Throws a `TypeError` if the value is not a message of this version. */
+function decodeMessage(value: unknown): FleetMessage {
+	const [version, kind, from, ...fields] = toFields(value);
+	if (version !== formatVersion || typeof kind !== 'string' || !Object.hasOwn(decoders, kind)) {
+		reject('a known version and kind');
 	}
 
-	return decoders[kind](toMember(from), fields);
+	return decoders[kind as FleetMessage['kind']](toMember(from), fields);
 }
 
-/**
- * Decodes the messages of one datagram; returns undefined if any part of it is not a message of
- * this version.
- */
-export function decodeFleetMessages(bytes: Uint8Array): FleetMessage[] | undefined {
+function unpack(bytes: Uint8Array): unknown[] | undefined {
 	try {
-		const values = (packr.unpackMultiple(bytes) ?? []) as unknown[];
-		const messages = values.map(value => decodeMessage(value));
-		return messages.length === 0 || messages.includes(undefined)
-			? undefined
-			: (messages as FleetMessage[]);
+		return packr.unpackMultiple(bytes) as unknown[] | undefined;
 	} catch {
 		return undefined;
 	}
 }
+
+/**
+ * Decodes the messages of one datagram. Calls `onRefused` for each message that is malformed or of
+ * another version, and once if the bytes are not a sequence of messages. Never throws.
+ */
+export function decodeFleetMessages(bytes: Uint8Array, onRefused: () => void): FleetMessage[] {
+	const values = unpack(bytes) ?? [];
+	if (values.length === 0) {
+		onRefused();
+	}
+
+	return values.flatMap(value => {
+		try {
+			return [decodeMessage(value)];
+		} catch {
+			onRefused();
+			return [];
+		}
+	});
+}
--- a/packages/io-fleet/src/published-exchange.ts
+++ b/packages/io-fleet/src/published-exchange.ts
@@ -47,6 +47,40 @@
 /** Maximum size in bytes of a response that this instance accepts from another one. */
 const maxResponseSize = 67_108_864;
 
+function isRevision(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+function isPublishedItem(value: unknown): value is PublishedItem {
+	const {key, value: text, revision} = (value ?? {}) as Readonly<Record<string, unknown>>;
+	return (
+		typeof key === 'string' &&
+		(text === undefined || typeof text === 'string') &&
+		isRevision(revision)
+	);
+}
+
+/**
+ * Checks a response of another instance. Throws a `FleetError` if a field is missing or malformed;
+ * the caller then reads from another source.
+ */
+function toPublishedResponse(value: unknown): PublishedResponse {
+	const response = (value ?? {}) as Readonly<Record<string, unknown>>;
+	const {kind, items, revision, confirmedAgo, waited} = response;
+	const isValid =
+		(kind === 'changes' || kind === 'snapshot') &&
+		Array.isArray(items) &&
+		items.every(item => isPublishedItem(item)) &&
+		isRevision(revision) &&
+		isRevision(confirmedAgo) &&
+		isRevision(waited);
+	if (!isValid) {
+		throw new FleetError('malformed-response', 'the response of the member is malformed');
+	}
+
+	return {kind, items, revision, confirmedAgo, waited};
+}
+
 type HeldRequest = {complete(): void};
 
 export function createPublishedListener(options: PublishedListenerOptions): PublishedListener {
@@ -79,15 +113,22 @@
 	 * for the milliseconds of its `wait` parameter.
 	 */
 	function respondOrHold(request: IncomingMessage, response: ServerResponse): void {
-		const url = new URL(request.url ?? '/', 'http://fleet');
-		const afterText = url.searchParams.get('after');
+		// Parsed by hand, because `URL` throws on some targets that the HTTP parser accepts.
+		const [pathname, query] = (request.url ?? '/').split('?', 2);
+		const parameters = new URLSearchParams(query);
+		const afterText = parameters.get('after');
 		const after = afterText === null ? undefined : Number(afterText);
-		const wait = Math.min(Number(url.searchParams.get('wait') ?? 0), maxWait);
-		if (url.pathname !== path) {
+		const wait = Math.min(Number(parameters.get('wait') ?? 0), maxWait);
+		if (pathname !== path) {
 			response.writeHead(404).end();
 			return;
 		}
 
+		if (after !== undefined && !isRevision(after)) {
+			response.writeHead(400).end();
+			return;
+		}
+
 		if (hasChanges(after) || !(wait > 0)) {
 			respond(response, after, 0);
 			return;
@@ -168,5 +209,5 @@
 		);
 	}
 
-	return parseJsonResponse(response) as PublishedResponse;
+	return toPublishedResponse(parseJsonResponse(response));
 }
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -366,6 +366,29 @@
 		grant.release({result, latency, slotTime: now - dispatchedAt, idleBefore, generation});
 	}
 
+	/**
+	 * Passes on what the target says about itself, unless the response does not provably come from
+	 * it.
+	 */
+	function recordNotice(
+		grant: SlotGrant,
+		targetResponse: IncomingMessage,
+		refused: RefusedResponse | undefined,
+	): void {
+		const notice =
+			refused === mismatchedResponse || refused?.result === 'misdirected'
+				? undefined
+				: dialect.readNotice?.(targetResponse);
+		if (notice === undefined) {
+			return;
+		}
+
+		grant.recordNotice?.(notice);
+		if (notice.isLeaving) {
+			connections.discardIdle(grant.target);
+		}
+	}
+
 	/** Returns why a response is refused because of its head; undefined if the head is acceptable. */
 	function checkResponseHead(
 		request: ForwardedRequest,
@@ -565,6 +588,7 @@
 			generation: typeof generation === 'string' ? generation : undefined,
 		};
 		const refused = checkResponseHead(request, progress, targetResponse);
+		recordNotice(grant, targetResponse, refused);
 		if (refused !== undefined) {
 			attempt.destroy();
 			release(progress, grant, times, refused.result);
--- a/packages/io-http/src/request-dialect.ts
+++ b/packages/io-http/src/request-dialect.ts
@@ -5,6 +5,8 @@
  * such agreement.
  */
 import {type IncomingMessage} from 'node:http';
+import {type TargetNotice} from '@shallotpond/kernel/attempt-outcome';
+import {parseRetryAfter} from './retry-after-header.js';
 
 /** Content of a response that proves that the target did not run the request. */
 export type ShedResponse = {
@@ -47,10 +49,31 @@
 	 * that the request did not run.
 	 */
 	readShed(response: IncomingMessage): ShedResponse | undefined;
+	/**
+	 * Reads what the target says about itself; undefined if it says nothing. Called only for a
+	 * response that belongs to the request and comes from the target that the request was sent to.
+	 */
+	readNotice?(response: IncomingMessage): TargetNotice | undefined;
 	/** Formats the value of `Retry-After`. */
 	formatRetryAfter(milliseconds: number): string;
 };
 
+/** Milliseconds after which a request that was shed is retried if the target gives no valid time. */
+const defaultRetryAfter = 1000;
+
+/**
+ * The notice in a response whose header `leavingHeader` is `1` while the target is leaving, and
+ * whose `Retry-After` asks for a pause if the status is 503.
+ */
+export function readTargetNotice(
+	{statusCode, headers}: IncomingMessage,
+	leavingHeader: string,
+): TargetNotice | undefined {
+	const isLeaving = headers[leavingHeader] === '1';
+	const holdOff = statusCode === 503 ? parseRetryAfter(headers['retry-after']) : undefined;
+	return isLeaving || holdOff !== undefined ? {isLeaving, holdOff} : undefined;
+}
+
 /** The conventions of Shallotpond itself, used where no other dialect is given. */
 export const defaultDialect: RequestDialect = {
 	keyHeaders: {
@@ -60,7 +83,7 @@
 	},
 	deadlineHeader: 'x-request-deadline',
 	reservedHeaders: new Set(),
-	strippedResponseHeaders: new Set(['x-shed', 'x-target-generation']),
+	strippedResponseHeaders: new Set(['x-shed', 'x-target-generation', 'x-target-leaving']),
 	addsForwardedHeaders: true,
 	acceptsUnframed: false,
 	readShed(response) {
@@ -70,8 +93,8 @@
 			return undefined;
 		}
 
-		const retryAfter = /^\d{1,6}$/.test(seconds) ? Number(seconds) * 1000 : 1000;
-		return {retryAfter, isMisdirected: false};
+		return {retryAfter: parseRetryAfter(seconds) ?? defaultRetryAfter, isMisdirected: false};
 	},
+	readNotice: response => readTargetNotice(response, 'x-target-leaving'),
 	formatRetryAfter: milliseconds => String(Math.max(1, Math.ceil(milliseconds / 1000))),
 };
--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -7,6 +7,7 @@
 	type AttemptOutcome,
 	type Refusal,
 	type RunState,
+	type TargetNotice,
 } from '@shallotpond/kernel/attempt-outcome';
 import {
 	type RouteDefinition,
@@ -38,6 +39,8 @@
 	 * aborts `signal`.
 	 */
 	isInForce(): boolean;
+	/** Called when the head of a response of the target contains a notice. */
+	recordNotice?(notice: TargetNotice): void;
 	/** Must be called exactly once. */
 	release(outcome: AttemptOutcome): void;
 };
--- a/packages/kernel/src/attempt-outcome.ts
+++ b/packages/kernel/src/attempt-outcome.ts
@@ -59,6 +59,17 @@
 	readonly generation?: string;
 };
 
+/** What a target said about itself in the head of a response. */
+export type TargetNotice = {
+	/** Whether this process of the target is stopping and must get no further requests. */
+	readonly isLeaving: boolean;
+	/**
+	 * Milliseconds for which the target wants no request from this instance; undefined if it did not
+	 * ask for a pause.
+	 */
+	readonly holdOff: number | undefined;
+};
+
 const runStateRanks: Readonly<Record<RunState, number>> = {'not-run': 0, 'may-have-run': 1, ran: 2};
 
 /**
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -5,7 +5,7 @@
 export type Clock = {
 	/**
 	 * Milliseconds since an arbitrary origin. Never decreases, and includes time during which the
-	 * process was suspended.
+	 * process was stopped. Time for which the machine was suspended may be missing.
 	 */
 	monotonic(): number;
 	/** Date and time of day, which may jump in either direction. */
@@ -18,6 +18,15 @@
 	every(interval: number, callback: () => void): () => void;
 };
 
+/**
+ * Wall-clock time minus monotonic time, in milliseconds. It grows by the time for which the machine
+ * was suspended, if the monotonic clock stood still meanwhile, and changes with each step of the
+ * wall clock.
+ */
+export function readClockOffset(clock: Clock): number {
+	return clock.wall().getTime() - clock.monotonic();
+}
+
 /** The clock of the operating system. Its timers do not keep the process alive. */
 export function createSystemClock(): Clock {
 	return {
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -17,6 +17,8 @@
 	| 'certainty-regained'
 	| 'target-listed'
 	| 'target-leaving'
+	| 'target-announced-leaving'
+	| 'target-held-off'
 	| 'target-unlisted'
 	| 'target-misdirected'
 	| 'target-suspected'
--- a/packages/platform/src/__tests__/published-item-receiver.test.ts
+++ b/packages/platform/src/__tests__/published-item-receiver.test.ts
@@ -8,6 +8,7 @@
 import {createCurrentConfiguration} from '@shallotpond/gateway/current-configuration';
 import {noopEventLog} from '@shallotpond/observability/event-log';
 import {createTargetDirectory} from '@shallotpond/policy-routing/target-directory';
+import {readClockOffset} from '@shallotpond/kernel/clock';
 import {createManualClock} from '@shallotpond/testkit/manual-clock';
 import {createPublishedItemReceiver} from '../published-item-receiver.js';
 
@@ -106,7 +107,7 @@
 	test('keys count as uncertain as soon as a withdrawal may have been missed', () => {
 		fixture.receiver.takeSnapshot([configurationItem(1)], 0);
 		expect(fixture.configuration.isUncertain()).toBe(true);
-		fixture.configuration.confirm(fixture.clock.monotonic());
+		fixture.configuration.confirm(fixture.clock.monotonic(), readClockOffset(fixture.clock));
 		fixture.clock.advance(4000);
 		expect(fixture.configuration.isUncertain()).toBe(false);
 		fixture.clock.advance(400);
--- a/packages/platform/src/__tests__/store-entries.test.ts
+++ b/packages/platform/src/__tests__/store-entries.test.ts
@@ -6,6 +6,7 @@
 import {describe, expect, test} from '@jest/globals';
 import {digestKey} from '@shallotpond/configuration/key-digest';
 import {createLookupTables} from '@shallotpond/configuration/lookup-tables';
+import {PlatformError} from '@shallotpond/io-platform/platform-error';
 import {decodeConfiguration, decodeTarget} from '../store-entries.js';
 
 const encode = (value: unknown) => Buffer.from(JSON.stringify(value)).toString('base64');
@@ -77,12 +78,48 @@
 		['an address of another type', {...target, address: 17}],
 		['an invalid address', {...target, address: 'nowhere'}],
 		['slots of another type', {...target, info: {...target.info, slots: 'four'}}],
+		['a port out of range', {...target, address: '10.128.0.9:65536'}],
+		['port 0', {...target, address: '10.128.0.9:0'}],
+		['an octet out of range', {...target, address: '10.128.0.999:80'}],
+		['slots beyond any process', {...target, info: {...target.info, slots: 1e300}}],
+		['half a slot', {...target, info: {...target.info, slots: 0.5}}],
+		['a sequence beyond 2^53', {...target, status: {...target.status, sequence: 2 ** 60}}],
+		['a fraction as sequence', {...target, status: {...target.status, sequence: 1.5}}],
+		['a cold time without end', {...target, status: {...target.status, cold_remaining_ms: 1e300}}],
+		['a negative cold time', {...target, status: {...target.status, cold_remaining_ms: -1}}],
+		['a start that is no time', {...target, born: 1e17}],
+		['a start of another type', {...target, born: 'today'}],
+		['a fraction as start', {...target, born: 1.5}],
 		['a list', [target]],
 		['nothing', null],
 	])('an invalid entry (%s) is rejected', (_what, value) => {
 		expect(() => decodeTarget('servers/i-7', encode(value))).toThrow();
 	});
 
+	test.each(['servers/', 'servers/a b', 'servers/a\r\nX: b', 'servers/\u00E9', 'servers/a\0'])(
+		'the key %j, whose id cannot be sent in a header, is rejected',
+		key => {
+			expect(() => decodeTarget(key, encode(target))).toThrow('the id is not');
+		},
+	);
+
+	test.each([
+		['nested brackets', '['.repeat(1_000_000)],
+		['nested lists', '['.repeat(500_000) + ']'.repeat(500_000)],
+		['nested objects', '{"info":'.repeat(100_000) + '1' + '}'.repeat(100_000)],
+		['a prototype key', '{"__proto__":{"address":"10.0.0.1:80"},"info":{},"status":{}}'],
+		['a number that overflows', '{"address":"10.0.0.1:80","born":1e999}'],
+	])('an entry with %s is rejected with an error of the platform', (_what, text) => {
+		const value = Buffer.from(text).toString('base64');
+		expect(() => decodeTarget('servers/i-7', value)).toThrow(PlatformError);
+	});
+
+	test('the last of duplicate fields counts', () => {
+		const text = JSON.stringify(target).replace('{', '{"address":"nowhere",');
+		const value = Buffer.from(text).toString('base64');
+		expect(decodeTarget('servers/i-7', value).address).toBe(target.address);
+	});
+
 	test('bytes that are not text are rejected', () => {
 		expect(() => decodeTarget('servers/i-7', '/////w==')).toThrow('the value is not JSON');
 	});
--- a/packages/platform/src/platform-dialect.ts
+++ b/packages/platform/src/platform-dialect.ts
@@ -3,7 +3,8 @@
  * request path of `io-http` reads them through this object, so that `io-http` contains none of the
  * platform's names.
  */
-import {type RequestDialect} from '@shallotpond/io-http/request-dialect';
+import {readTargetNotice, type RequestDialect} from '@shallotpond/io-http/request-dialect';
+import {parseRetryAfter} from '@shallotpond/io-http/retry-after-header';
 import {headerNames, misdirectedStatus} from './wire-names.js';
 
 const millisecondsPerSecond = 1000;
@@ -46,13 +47,9 @@
 			return undefined;
 		}
 
-		const seconds = Number(response.headers['retry-after']);
-		const isNumber = Number.isFinite(seconds) && seconds > 0;
-		return {
-			retryAfter: isNumber ? seconds * millisecondsPerSecond : undefined,
-			isMisdirected,
-		};
+		return {retryAfter: parseRetryAfter(response.headers['retry-after']), isMisdirected};
 	},
+	readNotice: response => readTargetNotice(response, headerNames.leaving),
 	formatRetryAfter: milliseconds =>
 		(Math.max(0, milliseconds) / millisecondsPerSecond).toFixed(retryAfterDigits),
 };
--- a/packages/platform/src/platform-program.ts
+++ b/packages/platform/src/platform-program.ts
@@ -133,6 +133,9 @@
 			countCall(call, status) {
 				metrics.count('store-calls', 1, {call, status});
 			},
+			onMalformedEntries(count) {
+				log.write('store-entry-refused', {count, error: 'no key, revision or value'});
+			},
 		}),
 		createReceiver: state =>
 			createPublishedItemReceiver({
@@ -182,6 +185,12 @@
 		process.on('SIGTERM', resolve);
 		process.on('SIGINT', resolve);
 	});
+	// The process holds nothing that an error in one callback could damage for others, and its end
+	// would cut off all requests in progress.
+	process.on('uncaughtException', error => {
+		metrics.count('internal-errors');
+		log.write('internal-error', {place: 'process', error: String(error.stack ?? error)});
+	});
 	await gateway.start();
 	await startAdminListeners(settings, gateway, metrics);
 	await stopSignal;
@@ -213,6 +222,7 @@
 			return exitCodes.usage;
 		}
 
-		throw error;
+		output.writeError(`${error instanceof Error ? error.stack : String(error)}\n`);
+		return exitCodes.failed;
 	}
 }
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -14,6 +14,8 @@
 	readonly address: () => SocketAddress;
 	readonly clock: Clock;
 	readonly countCall: (call: 'range' | 'watch', status: string) => void;
+	/** Called with the number of entries of a response that were left out as malformed. */
+	readonly onMalformedEntries: (count: number) => void;
 };
 
 /** Milliseconds; the store responds in 4 ms, and in 60 times as long when it is slow. */
@@ -34,9 +36,18 @@
 	readonly deleted?: boolean;
 };
 
-function toItem(item: unknown): PublishedItem {
-	const {key, value, revision, deleted} = item as WireItem;
-	return {key: String(key), value: deleted === true ? undefined : value, revision};
+function isRevision(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+/** Undefined if the entry has no key, no revision or a value that is not text. */
+function toItem(entry: unknown): PublishedItem | undefined {
+	const {key, value, revision, deleted} = (entry ?? {}) as Partial<WireItem>;
+	const isValid =
+		typeof key === 'string' &&
+		isRevision(revision) &&
+		(deleted === true || typeof value === 'string');
+	return isValid ? {key, value: deleted === true ? undefined : value, revision} : undefined;
 }
 
 export function createStoreClient(options: StoreClientOptions): StoreReader {
@@ -76,8 +87,24 @@
 		return body as Readonly<Record<string, unknown>>;
 	}
 
+	/** Leaves out malformed entries, so that one of them does not hide the others. */
 	function readList(value: unknown): PublishedItem[] {
-		return Array.isArray(value) ? value.map(item => toItem(item)) : [];
+		const entries = Array.isArray(value) ? (value as unknown[]) : [];
+		const items = entries.map(entry => toItem(entry)).filter(item => item !== undefined);
+		if (items.length < entries.length) {
+			options.onMalformedEntries(entries.length - items.length);
+		}
+
+		return items;
+	}
+
+	function readRevision(body: Readonly<Record<string, unknown>>): number {
+		const revision = body.as_of;
+		if (!isRevision(revision)) {
+			throw new PlatformError('malformed-answer', 'the response of the store has no revision');
+		}
+
+		return revision;
 	}
 
 	async function readPage(after: string | undefined, signal: AbortSignal) {
@@ -86,7 +113,7 @@
 		return {
 			items: readList(body.items),
 			hasMore: body.has_more === true,
-			revision: Number(body.as_of),
+			revision: readRevision(body),
 		};
 	}
 
@@ -115,7 +142,7 @@
 			}
 
 			const body = readBody(response);
-			return {kind: 'changes', items: readList(body.events), revision: Number(body.as_of)};
+			return {kind: 'changes', items: readList(body.events), revision: readRevision(body)};
 		},
 	};
 }
--- a/packages/platform/src/store-entries.ts
+++ b/packages/platform/src/store-entries.ts
@@ -3,14 +3,16 @@
  * separately, so that an invalid one does not affect the others.
  */
 import {Buffer} from 'node:buffer';
+import {isIPv4} from 'node:net';
 import {
 	type ConfigurationDocument,
 	type RouteDefinition,
 	type ServiceDefinition,
 	type WorkspaceDefinition,
 } from '@shallotpond/configuration/document-schema';
+import {parseSocketAddress} from '@shallotpond/kernel/setting-kinds';
 import {digestKey} from '@shallotpond/configuration/key-digest';
-import {type ListedTarget} from '@shallotpond/policy-routing/target-directory';
+import {unknownStartTime, type ListedTarget} from '@shallotpond/policy-routing/target-directory';
 import {PlatformError} from '@shallotpond/io-platform/platform-error';
 import {storeKeys} from './wire-names.js';
 
@@ -36,6 +38,13 @@
 /** Number of instances assumed when the idle connections of a target are divided among them. */
 const assumedInstances = 48;
 const millisecondsPerSecond = 1000;
+const idPattern = /^[!-~]{1,200}$/;
+/** Far more requests at once than one process serves. */
+const maxSlots = 1_000_000;
+/** Milliseconds; a target is cold for seconds. A later check-in can extend the time. */
+const maxColdTime = 3_600_000;
+/** The largest time value of ECMAScript, Unix milliseconds. */
+const maxTime = 8.64e15;
 /**
  * Milliseconds beyond the route's timeout within which the response must be complete; 250 ms beyond
  * the timeout, the platform counts the response as held up.
@@ -76,10 +85,16 @@
 		: reject(`${name} is not a non-empty string`);
 }
 
-function toNumber(value: unknown, name: string): number {
-	return typeof value === 'number' && Number.isFinite(value) && value >= 0
+function toNumber(value: unknown, name: string, max = Number.MAX_VALUE): number {
+	return typeof value === 'number' && value >= 0 && value <= max
 		? value
-		: reject(`${name} is not a non-negative number`);
+		: reject(`${name} is not a number from 0 to ${max}`);
+}
+
+function toInteger(value: unknown, name: string, max: number): number {
+	return Number.isInteger(value)
+		? toNumber(value, name, max)
+		: reject(`${name} is not a whole number`);
 }
 
 /** Returns undefined if there is no limit: the value is 0, invalid or missing. */
@@ -103,21 +118,31 @@
 	const status = toFields(entry.status, 'status');
 	const state = states[toText(status.state, 'state')];
 	const address = toText(entry.address, 'address');
-	if (state === undefined || !/^(?:\d+\.){3}\d+:\d+$/.test(address)) {
+	const {host, port} = parseSocketAddress(address) ?? reject('address is invalid');
+	if (state === undefined || !isIPv4(host) || port === 0) {
 		reject('state or address is invalid');
 	}
 
+	const id = key.slice(storeKeys.targetPrefix.length);
+	if (!idPattern.test(id)) {
+		// The id is sent to the target in a header.
+		reject('the id is not a word of visible ASCII characters');
+	}
+
 	return {
-		id: key.slice(storeKeys.targetPrefix.length),
+		id,
 		// By the wall clock of the target's machine, not of the store.
-		startTime: toOptionalNumber(entry.born) ?? 0,
+		startTime: entry.born === undefined ? unknownStartTime : toInteger(entry.born, 'born', maxTime),
 		service: toText(info.service, 'service'),
 		address,
 		failureDomain: toText(info.zone, 'zone'),
-		slots: Math.max(1, toNumber(info.slots, 'slots')),
+		slots: Math.max(1, toInteger(info.slots, 'slots', maxSlots)),
 		state,
-		coldFor: toOptionalNumber(status.cold_remaining_ms) ?? 0,
-		sequence: toNumber(status.sequence, 'sequence'),
+		coldFor:
+			status.cold_remaining_ms === undefined
+				? 0
+				: toNumber(status.cold_remaining_ms, 'cold_remaining_ms', maxColdTime),
+		sequence: toInteger(status.sequence, 'sequence', Number.MAX_SAFE_INTEGER),
 	};
 }
 
--- a/packages/platform/src/wire-names.ts
+++ b/packages/platform/src/wire-names.ts
@@ -12,6 +12,8 @@
 	/** Id of the target that must run the request; any other process at its address rejects it. */
 	target: 'x-shallotpond-target-instance',
 	notExecuted: 'x-shallotpond-not-executed',
+	/** `1` in each response of a target that is leaving. */
+	leaving: 'server-leaving',
 	key: 'x-shallotpond-credential',
 } as const;
 
--- a/packages/policy-fleet/src/__tests__/fleet-member.test.ts
+++ b/packages/policy-fleet/src/__tests__/fleet-member.test.ts
@@ -15,8 +15,11 @@
 	readonly received: TargetReport[];
 	readonly admitted: Map<string, number>;
 	readonly joined: string[];
+	/** Targets reported as leaving. */
+	readonly leaving: string[];
 	readonly content: {
 		isLeaving?: boolean;
+		leavingTargets?: string[];
 		targets: TargetReport[];
 		workspaces: Map<string, {asked: number; admitted: number}>;
 	};
@@ -40,6 +43,7 @@
 		};
 		const received: TargetReport[] = [];
 		const joined: string[] = [];
+		const leaving: string[] = [];
 		const admitted = new Map<string, number>();
 		const content: Instance['content'] = {targets: [], workspaces: new Map()};
 		const member = createFleetMember({
@@ -51,6 +55,7 @@
 				inFlight: [],
 				workspaces: content.workspaces,
 				crashes: [],
+				leavingTargets: content.leavingTargets ?? [],
 				configuration: {version: 1, revision: 1, confirmedAgo: 0},
 				isLeaving: content.isLeaving ?? false,
 			}),
@@ -60,10 +65,20 @@
 				admitted.set(total.workspace, (admitted.get(total.workspace) ?? 0) + total.admitted);
 			},
 			onCrashes: () => undefined,
+			onLeavingTargets: incarnations => void leaving.push(...incarnations),
 			onConfiguration: () => undefined,
 			onJoined: ({address: other}) => void joined.push(other),
 		});
-		const instance: Instance = {self, member, received, joined, admitted, content, messagesSent: 0};
+		const instance: Instance = {
+			self,
+			member,
+			received,
+			joined,
+			leaving,
+			admitted,
+			content,
+			messagesSent: 0,
+		};
 		instances.set(address, instance);
 		return instance;
 	}
@@ -122,6 +137,40 @@
 		}
 	});
 
+	test('a leaving target is reported to every instance, although single datagrams are lost', () => {
+		const fleet = createFleet(30, ['10.0.0.0']);
+		fleet.run(4000);
+		const instance = fleet.instances.get('10.0.0.7')!;
+		instance.content.leavingTargets = ['t@1'];
+		instance.member.markUrgent();
+		let sent = 0;
+		fleet.setDelivery(() => sent++ % 4 !== 0);
+		fleet.run(2500);
+		for (const {self, leaving} of fleet.instances.values()) {
+			expect(new Set(leaving)).toEqual(new Set(self.address === '10.0.0.7' ? [] : ['t@1']));
+		}
+	});
+
+	test.each([false, true])(
+		'a process that started anew after its wall clock stepped back is a member soon (planned stop: %s)',
+		isPlanned => {
+			const fleet = createFleet(6, ['10.0.0.0']);
+			const step = 5000;
+			fleet.instances.delete('10.0.0.5');
+			const first = fleet.add('10.0.0.5', 1 + step);
+			fleet.run(4000);
+			first.content.isLeaving = isPlanned;
+			fleet.run(250);
+			fleet.instances.delete('10.0.0.5');
+			fleet.add('10.0.0.5', 1);
+			fleet.run(4500);
+			for (const {member, self} of fleet.instances.values()) {
+				const known = member.roster.members().find(({address}) => address === '10.0.0.5');
+				expect(self.address === '10.0.0.5' ? 1 : known?.startedAt).toBe(1);
+			}
+		},
+	);
+
 	test('every other instance counts an admission once, although reports are repeated', () => {
 		const fleet = createFleet(12, ['10.0.0.0']);
 		fleet.run(4000);
--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -42,6 +42,7 @@
 	 */
 	readonly onUsage: (usage: Omit<WorkspaceUsageTotal, 'before'>, now: number) => void;
 	readonly onCrashes: (crashes: readonly TargetCrash[], now: number) => void;
+	readonly onLeavingTargets: (incarnations: readonly string[], now: number) => void;
 	readonly onConfiguration: (state: ConfigurationState, from: Member, now: number) => void;
 };
 
@@ -133,6 +134,7 @@
 
 		handleTotals(report.from, report.workspaces, now);
 		options.onCrashes(report.crashes, now);
+		options.onLeavingTargets(report.leavingTargets, now);
 	}
 
 	function createRosterAnswers(from: Member): OutboundFleetMessage[] {
--- a/packages/policy-fleet/src/fleet-message.ts
+++ b/packages/policy-fleet/src/fleet-message.ts
@@ -85,6 +85,11 @@
 	readonly crashes: readonly TargetCrash[];
 	/** Whether the sender is stopping. */
 	readonly isLeaving: boolean;
+	/**
+	 * Incarnations of targets that told the sender in the last few seconds that they are leaving,
+	 * also those of earlier reports.
+	 */
+	readonly leavingTargets: readonly string[];
 };
 
 export type RosterRequest = {readonly kind: 'roster-request'; readonly from: Member};
--- a/packages/policy-fleet/src/fleet-roster.ts
+++ b/packages/policy-fleet/src/fleet-roster.ts
@@ -63,6 +63,13 @@
  */
 const retention = 20_000;
 
+/**
+ * Milliseconds by which a message can be delayed. A message from a process that seems to have
+ * started before the known one, but arrives later than this, comes from its successor: the wall
+ * clock of the machine stepped back between the two starts.
+ */
+const maxMessageDelay = 1500;
+
 type Entry = {member: Member; lastContactAt: number};
 
 export function createFleetRoster({self, onJoined, onLeft}: FleetRosterOptions): FleetRoster {
@@ -74,9 +81,14 @@
 	const stopped = new Map<string, Entry>();
 	let peakSize = 1;
 
-	function isOlder(member: Member): boolean {
-		const known = entries.get(member.address)?.member;
-		return known !== undefined && member.startedAt < known.startedAt;
+	/** Whether a message of the member was delayed: a later process at its address is known. */
+	function isSuperseded(member: Member, now: number): boolean {
+		const known = entries.get(member.address);
+		return (
+			known !== undefined &&
+			member.startedAt < known.member.startedAt &&
+			now - known.lastContactAt < maxMessageDelay
+		);
 	}
 
 	function hasStopped({address, startedAt}: Member): boolean {
@@ -84,6 +96,16 @@
 		return last !== undefined && startedAt <= last.startedAt;
 	}
 
+	/** Whether a message of the member was delayed: it, or a later process, has announced its stop. */
+	function isDelayedAfterStop({address, startedAt}: Member, now: number): boolean {
+		const last = stopped.get(address);
+		return (
+			last !== undefined &&
+			(startedAt === last.member.startedAt ||
+				(startedAt < last.member.startedAt && now - last.lastContactAt < maxMessageDelay))
+		);
+	}
+
 	function addOrUpdate(member: Member, now: number): void {
 		const known = entries.get(member.address)?.member;
 		entries.set(member.address, {member, lastContactAt: now});
@@ -116,7 +138,8 @@
 
 	return {
 		recordMessageFrom(member, now) {
-			if (member.address !== self.address && !isOlder(member) && !hasStopped(member)) {
+			const isDelayed = isSuperseded(member, now) || isDelayedAfterStop(member, now);
+			if (member.address !== self.address && !isDelayed) {
 				addOrUpdate(member, now);
 			}
 		},
--- a/packages/policy-fleet/src/report-schedule.ts
+++ b/packages/policy-fleet/src/report-schedule.ts
@@ -36,6 +36,8 @@
 	readonly crashes: readonly TargetCrash[];
 	readonly configuration: ConfigurationState;
 	readonly isLeaving: boolean;
+	/** Targets found to be leaving in the last few seconds; each report repeats them. */
+	readonly leavingTargets: readonly string[];
 };
 
 export type ReportScheduleOptions = {
@@ -160,6 +162,7 @@
 			workspaces,
 			crashes: content.crashes,
 			isLeaving: content.isLeaving,
+			leavingTargets: content.leavingTargets,
 		};
 	}
 
@@ -173,7 +176,8 @@
 	}
 
 	function hasNews(audience: Audience, content: ReportContent): boolean {
-		if (audience.targets.size > 0) {
+		// Repeated reports of leaving targets compensate for lost datagrams.
+		if (audience.targets.size > 0 || content.leavingTargets.length > 0) {
 			return true;
 		}
 
@@ -270,7 +274,10 @@
 			pendingRelays.push({...report, isRelayed: false});
 		},
 		get hasUrgentRelays() {
-			return pendingRelays.some(({targets}) => targets.some(({bad, stale}) => bad + stale > 0));
+			return pendingRelays.some(
+				({targets, leavingTargets}) =>
+					leavingTargets.length > 0 || targets.some(({bad, stale}) => bad + stale > 0),
+			);
 		},
 	};
 }
--- a/packages/policy-routing/src/target-directory.ts
+++ b/packages/policy-routing/src/target-directory.ts
@@ -5,9 +5,14 @@
  */
 import {type TargetDefinition} from '@shallotpond/configuration/document-schema';
 
+export const unknownStartTime = 0;
+
 export type ListedTarget = {
 	readonly id: string;
-	/** Start time in wall-clock milliseconds; distinguishes two starts under the same id. */
+	/**
+	 * Start time in wall-clock milliseconds; distinguishes two starts under the same id.
+	 * `unknownStartTime` if the target does not say it.
+	 */
 	readonly startTime: number;
 	readonly service: string;
 	/** `ip:port`. */
--- a/packages/shallotpond/src/slot-dispatch-service.ts
+++ b/packages/shallotpond/src/slot-dispatch-service.ts
@@ -33,6 +33,7 @@
 	type SlotHolderMessage,
 	type SlotRefusalReason,
 } from '@shallotpond/policy-dispatch/slot-messages';
+import {createTargetNotices} from '@shallotpond/policy-routing/target-notices';
 import {type Logger} from 'winston';
 import {type CurrentConfiguration} from './current-configuration.js';
 import {type MembershipService} from './membership-service.js';
@@ -63,6 +64,11 @@
 
 type SlotResult = SlotGrant | Refusal;
 
+/**
+ * Milliseconds for which a target counts as leaving after it has said so. Its id does not tell a
+ * successor apart; one that is still leaving says so again.
+ */
+const leavingRetentionMs = 30_000;
 /** Interval at which expired grants and deadlines are detected and messages are resent. */
 const tickIntervalMs = 100;
 
@@ -82,6 +88,8 @@
 	const abortControllers = new Map<string, LightweightAbortController>();
 	const targetsById = new Map<string, TargetDefinition>();
 	let leavingTargets: ReadonlySet<string> = new Set();
+	/** By id of the target, because the configuration does not tell its starts apart. */
+	const notices = createTargetNotices({leavingRetention: leavingRetentionMs});
 	let cancelTicks: (() => void) | undefined;
 
 	const availability: AvailabilityLookup = (_service, target) => {
@@ -90,7 +98,9 @@
 			return 'domain-out';
 		}
 
-		return leavingTargets.has(target.id) ? 'leaving' : 'available';
+		const isLeaving =
+			leavingTargets.has(target.id) || notices.isLeaving(target.id, clock.monotonic());
+		return isLeaving ? 'leaving' : 'available';
 	};
 
 	const coordinator = createSlotCoordinator({
@@ -160,7 +170,16 @@
 			// The key check of `canDispatch` always succeeds here, because the request path checks the
 			// API key itself. If `isInForce` returns false, for example because the target is leaving,
 			// the request path releases the grant and asks for another one.
-			isInForce: () => slotHolder.canDispatch(grant, () => true, clock.monotonic()),
+			isInForce() {
+				const now = clock.monotonic();
+				return notices.isOpen(target.id, now) && slotHolder.canDispatch(grant, () => true, now);
+			},
+			recordNotice(notice) {
+				const change = notices.record(target.id, notice, clock.monotonic());
+				if (change.isNewlyLeaving || change.isNewlyHeldOff) {
+					logger.info('target asked for no further requests', {target: target.id, ...notice});
+				}
+			},
 			release(outcome) {
 				abortControllers.delete(grant.grant);
 				applyEffects(slotHolder.release(grant, outcome, clock.monotonic()));
@@ -206,7 +225,10 @@
 			cancelTicks?.();
 		},
 		async acquire({signal, ...request}) {
-			const {request: requestId, effects} = slotHolder.ask(request, clock.monotonic());
+			const now = clock.monotonic();
+			notices.prune(now);
+			const excludedTargets = [...request.excludedTargets, ...notices.closed(now)];
+			const {request: requestId, effects} = slotHolder.ask({...request, excludedTargets}, now);
 			const result = new Promise<SlotResult>(resolve => {
 				pendingRequests.set(requestId, resolve);
 				signal.addEventListener('abort', () => {
