Read the store through fewer instances, and from members at the start

Cause: two readers in each failure domain, and every instance at its start, called the store.

After a failed read it turns to the store as before.

Tests: readers at 48 and 300 instances in six domains, and at a start of all.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -119,6 +119,8 @@
 /** Time before the stop limit at which requests in progress are abandoned. */
 const stopReserveMs = 500;
 const stopCheckIntervalMs = 50;
+/** In a fleet that is running, seeds name other members within a few milliseconds. */
+const discoveryTimeMs = 600;
 /**
  * Added to the time for which callers may leave a connection idle, so that a connection is not
  * closed while a request is on its way.
@@ -232,6 +234,7 @@
 		port: options.ports.published,
 		roster: fleet.roster,
 		store: options.store,
+		discoveryTime: discoveryTimeMs,
 		receiver: {
 			...options.createReceiver({configuration, directory, setCallerIdleTimeout}),
 			confirm: configuration.confirm,
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -79,6 +79,11 @@
 	readonly roster: FleetRoster;
 	readonly store: StoreReader;
 	readonly receiver: PublishedItemReceiver;
+	/**
+	 * Maximum milliseconds at the start to wait until another member is known, which can then be read
+	 * instead of the store. Default 0.
+	 */
+	readonly discoveryTime?: number;
 };
 
 /**
@@ -106,6 +111,8 @@
  * current source.
  */
 const catchUpDelayMs = 250;
+/** Interval of the checks whether another member is known. */
+const discoveryCheckMs = 25;
 /** Bounds of the delay after the second and further failed reads in a row, in milliseconds. */
 const backOff = {initialDelay: 100, maxDelay: 800} as const;
 /**
@@ -244,9 +251,24 @@
 	/** Whether the last read of the store returned changes. */
 	let hasStoreChanges = false;
 
+	const discoveryEnd = clock.monotonic() + random() * (options.discoveryTime ?? 0);
+
+	/** Resolves when another member is known, at the latest at `discoveryEnd`. */
+	async function waitForMembers(): Promise<void> {
+		while (options.roster.size === 1 && clock.monotonic() < discoveryEnd) {
+			await new Promise<void>(resolve => {
+				clock.after(discoveryCheckMs, resolve);
+			});
+		}
+	}
+
 	const callLoop = createCallLoop({
 		clock,
 		async call(signal) {
+			if (published.revision === undefined) {
+				await waitForMembers();
+			}
+
 			const source = sourceSelector.choose(clock.monotonic());
 			hasStoreChanges = false;
 			try {
--- a/packages/io-fleet/src/published-exchange.ts
+++ b/packages/io-fleet/src/published-exchange.ts
@@ -105,15 +105,14 @@
 		response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(body));
 	}
 
-	/** Whether to respond at once; also true before the first snapshot (status 503). */
 	function hasChanges(after: number | undefined): boolean {
 		const changes = log.since(after);
-		return changes === undefined || changes.kind === 'snapshot' || changes.items.length > 0;
+		return changes !== undefined && (changes.kind === 'snapshot' || changes.items.length > 0);
 	}
 
 	/**
 	 * Responds at once if there is something new; otherwise holds the request until there is, at most
-	 * for the milliseconds of its `wait` parameter.
+	 * for the milliseconds of its `wait` parameter. If there is no snapshot even then, responds 503.
 	 */
 	function respondOrHold(request: IncomingMessage, response: ServerResponse): void {
 		// Parsed by hand, because `URL` throws on some targets that the HTTP parser accepts.
--- a/packages/policy-fleet/src/__tests__/sync-source-selector.test.ts
+++ b/packages/policy-fleet/src/__tests__/sync-source-selector.test.ts
@@ -9,10 +9,14 @@
 
 const now = 1000;
 
-function createInstances(size: number, confirmedAgo: () => number = () => 100) {
+function createInstances(
+	size: number,
+	confirmedAgo: () => number = () => 100,
+	domains: readonly string[] = ['north'],
+) {
 	const members = Array.from({length: size}, (_, index) => ({
 		address: `10.0.0.${index}`,
-		failureDomain: 'north',
+		failureDomain: domains[index % domains.length]!,
 		startedAt: 1,
 	}));
 	return members.map(self => {
@@ -44,6 +48,26 @@
 		}
 	});
 
+	test.each([48, 300])(
+		'of %i instances in six failure domains, one in each reads the store',
+		size => {
+			const domains = ['a', 'b', 'c', 'd', 'e', 'f'];
+			const readers = createInstances(size, () => 100, domains).filter(
+				({selector}) => selector.choose(now).kind === 'store',
+			);
+			expect(readers.map(({self}) => self.failureDomain).sort()).toEqual(domains);
+		},
+	);
+
+	test('when all instances start at once, only the readers read the store, until a read fails', () => {
+		const instances = createInstances(12, () => Number.POSITIVE_INFINITY);
+		const followers = instances.filter(({selector}) => selector.choose(now).kind === 'member');
+		expect(followers).toHaveLength(10);
+		const {selector} = followers[0]!;
+		selector.recordFailure(selector.choose(now), now);
+		expect(selector.choose(now).kind).toBe('store');
+	});
+
 	test('an instance whose reader fails switches to another one at once', () => {
 		const {selector} = createInstances(12).find(
 			instance => instance.selector.choose(now).kind === 'member',
--- a/packages/policy-fleet/src/sync-source-selector.ts
+++ b/packages/policy-fleet/src/sync-source-selector.ts
@@ -34,8 +34,12 @@
 	readonly confirmedAgo: () => number;
 };
 
-/** Two, so that changes keep arriving while one of the readers is frozen or cut off. */
-const readersPerDomain = 2;
+/**
+ * Readers of the store in the whole fleet. Several, because a reader may be frozen or cut off: its
+ * followers then learn of changes from other members, and of a new reader after a failed read.
+ */
+const minReaders = 6;
+const maxReadersPerDomain = 2;
 /** Milliseconds for which a source is avoided after a failure. */
 const avoidancePeriod = 2500;
 /**
@@ -55,6 +59,8 @@
 	const confirmedAt = new Map<string, number>();
 	let storeAvoidedUntil = 0;
 	let currentReader: string | undefined;
+	/** Whether any read has failed since the start of this instance. */
+	let hasFailed = false;
 
 	function isAvoided(address: string, now: number): boolean {
 		return now < (avoidedUntil.get(address) ?? 0);
@@ -78,7 +84,8 @@
 		}
 
 		addresses.sort((first, second) => hashText(first) - hashText(second));
-		return addresses.slice(0, readersPerDomain);
+		const domains = 1 + roster.otherDomainMembers(now).size;
+		return addresses.slice(0, Math.min(maxReadersPerDomain, Math.ceil(minReaders / domains)));
 	}
 
 	function chooseFreshMember(now: number): SyncSource | undefined {
@@ -98,7 +105,11 @@
 		choose(now) {
 			const isStoreAvoided = now < storeAvoidedUntil;
 			const readers = chooseReaders(now);
-			if (readers.includes(self) || options.confirmedAgo() > staleAfter) {
+			// A new instance asks a member first: after a start of many instances at once, a few reads of
+			// the store serve them all.
+			const isNew = !hasFailed && options.confirmedAgo() === Number.POSITIVE_INFINITY;
+			const isStale = !isNew && options.confirmedAgo() > staleAfter;
+			if (readers.includes(self) || isStale) {
 				const fallback = isStoreAvoided ? chooseFreshMember(now) : undefined;
 				return fallback ?? {kind: 'store'};
 			}
@@ -112,6 +123,7 @@
 			return {kind: 'member', address: currentReader};
 		},
 		recordFailure(source, now) {
+			hasFailed = true;
 			if (source.kind === 'store') {
 				storeAvoidedUntil = now + avoidancePeriod;
 			} else {
