--- a/packages/shallotpond/src/__tests__/daemon-processes.ts
+++ b/packages/shallotpond/src/__tests__/daemon-processes.ts
@@ -5,11 +5,11 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import http, {type Agent} from 'node:http';
-import {createServer, type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {reservePorts} from '@shallotpond/testkit/port-reservation';
 
 const program = fileURLToPath(new URL('../../bin/shallotpond.js', import.meta.url));
 const pollIntervalMs = 25;
@@ -97,17 +97,6 @@
 	}
 }
 
-/** Returns a port that was free during the call. */
-export async function findFreePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
-}
-
 /** Sends one request to 127.0.0.1. Rejects if the connection breaks or the timeout passes. */
 export async function call(port: number, options: CallOptions): Promise<CallResponse> {
 	const {
@@ -226,7 +215,7 @@
 /** Resolves when the daemon listens; it becomes ready later. Rejects with its output if it exits. */
 export async function startDaemon(options: DaemonOptions): Promise<DaemonProcess> {
 	const {failureDomain, configurationService, peerSecret, peers = [], flags = []} = options;
-	const peerAddress = `127.0.0.1:${options.peerPort ?? (await findFreePort())}`;
+	const peerAddress = `127.0.0.1:${options.peerPort ?? (await reservePorts())}`;
 	const {child, output, exited} = startProgram(
 		[
 			'--listen=127.0.0.1:0',
--- a/packages/shallotpond/src/__tests__/demo.test.ts
+++ b/packages/shallotpond/src/__tests__/demo.test.ts
@@ -10,11 +10,11 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {afterEach, expect, test} from '@jest/globals';
+import {reservePorts} from '@shallotpond/testkit/port-reservation';
 import {startDemo, type DemoPorts} from '../demo.js';
 import {
 	call,
 	killAllProcesses,
-	findFreePort,
 	trackProcess,
 	waitUntil,
 	type TrackedProcess,
@@ -31,9 +31,9 @@
 
 async function findPorts(): Promise<DemoPorts> {
 	const [callers, peers, admin] = [
-		await findFreePort(),
-		await findFreePort(),
-		await findFreePort(),
+		await reservePorts(),
+		await reservePorts(),
+		await reservePorts(),
 	];
 	return {callers, peers, admin};
 }
--- a/packages/shallotpond/src/__tests__/fleet-processes.test.ts
+++ b/packages/shallotpond/src/__tests__/fleet-processes.test.ts
@@ -16,11 +16,11 @@
 	createStandInConfigurationService,
 	type StandInConfigurationService,
 } from '@shallotpond/testkit/stand-in-configuration-service';
+import {reservePorts} from '@shallotpond/testkit/port-reservation';
 import {startCountingTarget, type CountingTarget, type TargetRun} from './counting-target.js';
 import {
 	call,
 	killAllProcesses,
-	findFreePort,
 	isReady,
 	readAdminPage,
 	startDaemon,
@@ -286,7 +286,7 @@
 	configurationService = await createStandInConfigurationService(
 		createFleetDocument(targets, instanceCount),
 	);
-	const ports = await Promise.all(Array.from({length: instanceCount}, async () => findFreePort()));
+	const ports = await Promise.all(Array.from({length: instanceCount}, async () => reservePorts()));
 	const peers = ports.map(port => `127.0.0.1:${port}`);
 	await Promise.all(
 		ports.map(async (port, index) =>
@@ -431,7 +431,7 @@
 			configurationService.recover();
 			configurationService.serveOldVersion(1);
 			const peers = fleet.map(({peerAddress}) => peerAddress);
-			const replacement = await addInstance(failureDomains[0], await findFreePort(), peers);
+			const replacement = await addInstance(failureDomains[0], await reservePorts(), peers);
 			publishInstanceList();
 			await waitUntil('the new instance is ready', async () => isReady(replacement));
 			const status = await readStatus(replacement);
--- a/packages/shallotpond/src/__tests__/main.test.ts
+++ b/packages/shallotpond/src/__tests__/main.test.ts
@@ -19,12 +19,12 @@
 	createStandInConfigurationService,
 	type StandInConfigurationService,
 } from '@shallotpond/testkit/stand-in-configuration-service';
+import {reservePorts} from '@shallotpond/testkit/port-reservation';
 import {daemonSettings, environmentPrefix} from '../daemon-settings.js';
 import {startCountingTarget} from './counting-target.js';
 import {
 	call,
 	killAllProcesses,
-	findFreePort,
 	isReady,
 	readAdminPage,
 	startDaemon,
@@ -197,7 +197,7 @@
 			const defaultAddresses = {listen: '127.0.0.1:0', 'admin-listen': '127.0.0.1:0'};
 			const addresses = {
 				...defaultAddresses,
-				'peer-listen': `127.0.0.1:${await findFreePort()}`,
+				'peer-listen': `127.0.0.1:${await reservePorts()}`,
 				[flag]: occupiedAddress,
 			};
 			try {
@@ -228,7 +228,7 @@
 			const peerSecret = 'main-test-peer-secret-5d1e';
 			const wrongSecret = 'main-test-other-secret-90ab';
 			const unknownKey = 'main-test-unknown-key-41';
-			const ports = [await findFreePort(), await findFreePort(), await findFreePort()];
+			const ports = [await reservePorts(), await reservePorts(), await reservePorts()];
 			const peers = ports.map(port => `127.0.0.1:${port}`);
 			const secretFile = path.join(temporaryFolder, 'secret');
 			await writeFile(secretFile, `${peerSecret}\n`);
@@ -315,7 +315,7 @@
 	test(
 		'that starts while the configuration service is unavailable gets the configuration from peers',
 		async () => {
-			const ports = [await findFreePort(), await findFreePort()];
+			const ports = [await reservePorts(), await reservePorts()];
 			const peers = ports.map(port => `127.0.0.1:${port}`);
 			const commonOptions = {
 				failureDomain: 'north',
--- a/packages/soak/src/__tests__/stop-signals.test.ts
+++ b/packages/soak/src/__tests__/stop-signals.test.ts
@@ -13,8 +13,8 @@
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
 import {createSystemClock} from '@shallotpond/kernel/clock';
 import {createStandInStore, type StandInStore} from '@shallotpond/platform/stand-in-store';
+import {reservePorts} from '@shallotpond/testkit/port-reservation';
 import {encodeSettings} from '@shallotpond/platform/stand-in-encoding';
-import {findFreePort} from '../free-port.js';
 
 const program = path.join(import.meta.dirname, '../../../platform/dist/main.js');
 /**
@@ -43,9 +43,9 @@
 	store = createStandInStore({clock: createSystemClock()});
 	await store.start();
 	directory = await mkdtemp(path.join(tmpdir(), 'shallotpond-stop-'));
-	const callersPort = await findFreePort();
-	readinessPort = await findFreePort();
-	const internalPort = await findFreePort();
+	const callersPort = await reservePorts(13);
+	readinessPort = callersPort + 1;
+	const internalPort = callersPort + 2;
 	const settings = encodeSettings({
 		name: 'instance-0',
 		address,
--- a/packages/soak/src/soak-instances.ts
+++ b/packages/soak/src/soak-instances.ts
@@ -8,8 +8,8 @@
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type Random} from '@shallotpond/kernel/random';
 import {encodeSettings, readinessPath} from '@shallotpond/platform/stand-in-encoding';
+import {reservePorts} from '@shallotpond/testkit/port-reservation';
 import {createFaultProxy, type FaultProxy} from './fault-proxy.js';
-import {findFreePort} from './free-port.js';
 import {createInstanceProcess, type InstanceProcess} from './instance-process.js';
 import {type Observations} from './observations.js';
 import {type InstanceEndpoint} from './soak-callers.js';
@@ -97,7 +97,7 @@
 export async function createSoakInstances(options: SoakInstancesOptions): Promise<SoakInstances> {
 	const {clock, random, observations, count, directory} = options;
 	const network = drawNetwork();
-	const callersPort = await findFreePort();
+	const callersPort = await reservePorts(internalPortCount + 3);
 	const readinessPort = callersPort + 1;
 	const internalPort = callersPort + 2;
 	const managedInstances: ManagedInstance[] = [];
