--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -52,6 +52,11 @@
 type Fields = Readonly<Record<string, unknown>>;
 
 const millisecondsPerSecond = 1000;
+const maxPort = 65_535;
+
+function isPort(value: unknown): value is number {
+	return Number.isInteger(value) && (value as number) > 0 && (value as number) <= maxPort;
+}
 
 /** Reads fields and collects all problems, so that one error message names every invalid field. */
 class SettingsReader {
@@ -104,8 +109,8 @@
 	portRange(parent: Fields, name: string): readonly [number, number] {
 		const value = parent[name];
 		const [first, last] = Array.isArray(value) ? (value as unknown[]) : [];
-		if (Number.isInteger(first) && Number.isInteger(last)) {
-			return [first as number, last as number];
+		if (isPort(first) && isPort(last)) {
+			return [first, last];
 		}
 
 		this.problems.push(`${name}: must be the first and the last port`);
@@ -127,13 +132,14 @@
 /** Throws a `PlatformError` (`malformed-settings`) that names every invalid field. */
 export function decodeSettings(text: string): PlatformSettings {
 	const reader = new SettingsReader();
-	let file: Fields;
+	let content: unknown;
 	try {
-		file = JSON.parse(text) as Fields;
+		content = JSON.parse(text);
 	} catch (error) {
 		throw new PlatformError('malformed-settings', 'the settings file is not JSON', {cause: error});
 	}
 
+	const file = reader.object({file: content}, 'file');
 	const self = reader.object(file, 'self');
 	const network = reader.object(file, 'network');
 	const listen = reader.object(network, 'listen');
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -105,4 +105,7 @@
 	}
 }
 
-process.exitCode = await main();
+// `process.exit` skips the closing of handles, for one of which Node.js 20 sometimes waits without end
+// (in `Environment::CleanupHandles`).
+// eslint-disable-next-line unicorn/no-process-exit
+process.exit(await main());
