--- a/packages/io-http/src/__tests__/malformed-responses.test.ts
+++ b/packages/io-http/src/__tests__/malformed-responses.test.ts
@@ -98,6 +98,15 @@
 	await localFixture.stop();
 });
 
+test('chunk extensions of either side are dropped, and the body stays the same', async () => {
+	const bytes = `${chunkedHead}\r\n2;a=b\r\nok\r\n0;c\r\n\r\n`;
+	fixture.target.setBehaviour({kind: 'raw', bytes, ends: true});
+	const text = `POST /a HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n`;
+	const response = await sendRaw(fixture, `${text}2;x=y\r\nhi\r\n0\r\n\r\n`);
+	expect(response).toMatch(/\r\n\r\n2\r\nok\r\n0\r\n\r\n$/);
+	expect(fixture.received()[0]).toMatchObject({body: 'hi', isComplete: true});
+});
+
 test('a malformed trailer of a request ends it unforwarded', async () => {
 	const text = `POST /a HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n`;
 	const response = await sendRaw(fixture, `${text}1\r\na\r\n0\r\nX : b\r\n\r\n`);
