Read the store at once at a restart

Cause: a start through members makes an instance ready later, which callers pay after processes were killed.

Change: only the first start of the whole fleet (bootstrap in the settings) goes through members; any later one reads the store at once, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -75,6 +75,8 @@
 	readonly rateBound: RateBound;
 	/** Milliseconds from the stop signal until the process must have ended. */
 	readonly stopLimit: number;
+	/** Whether the whole fleet starts for the first time, so that no caller waits yet. */
+	readonly isFirstStart: boolean;
 };
 
 export type GatewayServices = {
@@ -234,7 +236,7 @@
 		port: options.ports.published,
 		roster: fleet.roster,
 		store: options.store,
-		discoveryTime: discoveryTimeMs,
+		discoveryTime: options.isFirstStart ? discoveryTimeMs : 0,
 		receiver: {
 			...options.createReceiver({configuration, directory, setCallerIdleTimeout}),
 			confirm: configuration.confirm,
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -80,8 +80,8 @@
 	readonly store: StoreReader;
 	readonly receiver: PublishedItemReceiver;
 	/**
-	 * Maximum milliseconds at the start to wait until another member is known, which can then be read
-	 * instead of the store. Default 0.
+	 * Maximum milliseconds at the start to wait until another member is known, which is then read
+	 * instead of the store. Default 0: the store is read at once, because callers may be waiting.
 	 */
 	readonly discoveryTime?: number;
 };
@@ -135,6 +135,7 @@
 		roster: options.roster,
 		random,
 		confirmedAgo: receiver.confirmedAgo,
+		startsFromMembers: (options.discoveryTime ?? 0) > 0,
 	});
 	const listener = createPublishedListener({
 		address: {host: options.self, port: options.port},
--- a/packages/platform/src/__tests__/platform-settings.test.ts
+++ b/packages/platform/src/__tests__/platform-settings.test.ts
@@ -32,9 +32,19 @@
 };
 
 describe('settings file', () => {
+	test.each([
+		[true, true],
+		[false, false],
+		['true', false],
+	])('a start with bootstrap %j is the first one: %s', (bootstrap, isFirstStart) => {
+		const text = JSON.stringify({...file, self: {...file.self, bootstrap}});
+		expect(decodeSettings(text)).toMatchObject({isFirstStart});
+	});
+
 	test('is decoded into the terms of the project, and unknown fields are ignored', () => {
 		expect(decodeSettings(JSON.stringify(file))).toEqual({
 			instance: 'front-north-1',
+			isFirstStart: false,
 			address: '10.1.0.24',
 			failureDomain: 'north',
 			failureDomains: ['north', 'south'],
--- a/packages/platform/src/platform-program.ts
+++ b/packages/platform/src/platform-program.ts
@@ -159,6 +159,7 @@
 		retryBudget: settings.retryBudget,
 		rateBound: settings.rateBound,
 		stopLimit: settings.stopLimit,
+		isFirstStart: settings.isFirstStart,
 	});
 	// Only the seeds and the address of the store are read again at each use. Changes of all other
 	// settings take effect at the next start.
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -9,6 +9,8 @@
 import {type RateBound} from '@shallotpond/policy-routing/workspace-rate-limiter';
 
 export type PlatformSettings = {
+	/** Whether the whole fleet starts for the first time, so that no caller waits yet. */
+	readonly isFirstStart: boolean;
 	/** Name of the machine, for logs. */
 	readonly instance: string;
 	/** IP address of the machine. */
@@ -148,6 +150,7 @@
 	const bounds = reader.object(reader.object(file, 'terms'), 'bounds');
 	const settings: PlatformSettings = {
 		instance: reader.text(self, 'node'),
+		isFirstStart: self.bootstrap === true,
 		address: reader.text(self, 'ip'),
 		failureDomain: reader.text(self, 'zone'),
 		failureDomains: Object.keys(reader.object(network, 'zones')),
--- a/packages/policy-fleet/src/__tests__/sync-source-selector.test.ts
+++ b/packages/policy-fleet/src/__tests__/sync-source-selector.test.ts
@@ -13,6 +13,7 @@
 	size: number,
 	confirmedAgo: () => number = () => 100,
 	domains: readonly string[] = ['north'],
+	startsFromMembers = true,
 ) {
 	const members = Array.from({length: size}, (_, index) => ({
 		address: `10.0.0.${index}`,
@@ -30,6 +31,7 @@
 			roster,
 			random: createSeededRandom(1),
 			confirmedAgo,
+			startsFromMembers,
 		});
 		return {self, selector};
 	});
@@ -68,6 +70,11 @@
 		expect(selector.choose(now).kind).toBe('store');
 	});
 
+	test('an instance that starts while callers may be waiting reads the store at once', () => {
+		const instances = createInstances(12, () => Number.POSITIVE_INFINITY, ['north'], false);
+		expect(instances.every(({selector}) => selector.choose(now).kind === 'store')).toBe(true);
+	});
+
 	test('an instance whose reader fails switches to another one at once', () => {
 		const {selector} = createInstances(12).find(
 			instance => instance.selector.choose(now).kind === 'member',
--- a/packages/policy-fleet/src/sync-source-selector.ts
+++ b/packages/policy-fleet/src/sync-source-selector.ts
@@ -32,6 +32,11 @@
 	readonly random: Random;
 	/** Milliseconds since this instance was confirmed to be up to date. */
 	readonly confirmedAgo: () => number;
+	/**
+	 * Whether a new instance reads from a member first: after a start of many instances at once, a few
+	 * reads of the store then serve them all, but each is ready later.
+	 */
+	readonly startsFromMembers: boolean;
 };
 
 /**
@@ -105,9 +110,10 @@
 		choose(now) {
 			const isStoreAvoided = now < storeAvoidedUntil;
 			const readers = chooseReaders(now);
-			// A new instance asks a member first: after a start of many instances at once, a few reads of
-			// the store serve them all.
-			const isNew = !hasFailed && options.confirmedAgo() === Number.POSITIVE_INFINITY;
+			const isNew =
+				options.startsFromMembers &&
+				!hasFailed &&
+				options.confirmedAgo() === Number.POSITIVE_INFINITY;
 			const isStale = !isNew && options.confirmedAgo() > staleAfter;
 			if (readers.includes(self) || isStale) {
 				const fallback = isStoreAvoided ? chooseFreshMember(now) : undefined;
