--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -128,14 +128,14 @@
 export function createPublishedStateService(
 	options: PublishedStateServiceOptions,
 ): PublishedStateService {
-	const {clock, random, log, metrics, store, receiver} = options;
+	const {clock, random, log, metrics, store, receiver, discoveryTime = 0} = options;
 	const published = createPublishedLog();
 	const sourceSelector = createSyncSourceSelector({
 		self: options.self,
 		roster: options.roster,
 		random,
 		confirmedAgo: receiver.confirmedAgo,
-		startsFromMembers: (options.discoveryTime ?? 0) > 0,
+		startsFromMembers: discoveryTime > 0,
 	});
 	const listener = createPublishedListener({
 		address: {host: options.self, port: options.port},
@@ -143,10 +143,13 @@
 		log: published,
 		confirmedAgo: receiver.confirmedAgo,
 	});
+	const discoveryEnd = clock.monotonic() + random() * discoveryTime;
 	let lastContactAt = clock.monotonic();
 	let isStoreLost = false;
 	let isHistoryGone = false;
 	let isCatchingUp = false;
+	/** Whether the last read of the store returned changes. */
+	let hasStoreChanges = false;
 
 	function takeSnapshot(items: readonly PublishedItem[], revision: number): void {
 		if (published.replace(items, revision)) {
@@ -249,11 +252,6 @@
 		recordStoreState(false, undefined);
 	}
 
-	/** Whether the last read of the store returned changes. */
-	let hasStoreChanges = false;
-
-	const discoveryEnd = clock.monotonic() + random() * (options.discoveryTime ?? 0);
-
 	/** Resolves when another member is known, at the latest at `discoveryEnd`. */
 	async function waitForMembers(): Promise<void> {
 		while (options.roster.size === 1 && clock.monotonic() < discoveryEnd) {
--- a/packages/io-fleet/src/published-exchange.ts
+++ b/packages/io-fleet/src/published-exchange.ts
@@ -7,6 +7,7 @@
 import {type AddressInfo} from 'node:net';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {formatSocketAddress, type SocketAddress} from '@shallotpond/kernel/setting-kinds';
+import {isWholeNumber} from '@shallotpond/kernel/whole-number';
 import {type PublishedItem, type PublishedLog} from '@shallotpond/policy-fleet/published-log';
 import {callHttp, parseJsonResponse} from '@shallotpond/io-platform/http-call';
 import {FleetError} from './datagram-transport.js';
@@ -50,16 +51,12 @@
 /** Maximum size in bytes of a response that this instance accepts from another one. */
 const maxResponseSize = 67_108_864;
 
-function isRevision(value: unknown): value is number {
-	return Number.isSafeInteger(value) && (value as number) >= 0;
-}
-
 function isPublishedItem(value: unknown): value is PublishedItem {
 	const {key, value: text, revision} = (value ?? {}) as Readonly<Record<string, unknown>>;
 	return (
 		typeof key === 'string' &&
 		(text === undefined || typeof text === 'string') &&
-		isRevision(revision)
+		isWholeNumber(revision)
 	);
 }
 
@@ -74,9 +71,9 @@
 		(kind === 'changes' || kind === 'snapshot') &&
 		Array.isArray(items) &&
 		items.every(item => isPublishedItem(item)) &&
-		isRevision(revision) &&
-		isRevision(confirmedAgo) &&
-		isRevision(waited);
+		isWholeNumber(revision) &&
+		isWholeNumber(confirmedAgo) &&
+		isWholeNumber(waited);
 	if (!isValid) {
 		throw new FleetError('malformed-response', 'the response of the member is malformed');
 	}
@@ -126,7 +123,7 @@
 			return;
 		}
 
-		if (after !== undefined && !isRevision(after)) {
+		if (after !== undefined && !isWholeNumber(after)) {
 			response.writeHead(400).end();
 			return;
 		}
--- a/packages/io-http/src/__tests__/hostile-input.test.ts
+++ b/packages/io-http/src/__tests__/hostile-input.test.ts
@@ -7,7 +7,7 @@
 import process from 'node:process';
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
 import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
-import {createFixture, key, send, sendRaw, waitUntil, type Fixture} from './support.js';
+import {createFixture, key, pick, send, sendRaw, waitUntil, type Fixture} from './support.js';
 
 let fixture: Fixture;
 
@@ -233,10 +233,6 @@
 	await localFixture.stop();
 });
 
-function pick<Item>(random: Random, items: readonly Item[]): Item {
-	return items[Math.floor(random() * items.length)]!;
-}
-
 /** Puts one fault at a random place of a request that is otherwise valid. */
 function createMalformedRequest(random: Random): string {
 	const digits = () => String(Math.floor(random() * 10_000));
--- a/packages/io-http/src/__tests__/malformed-responses.test.ts
+++ b/packages/io-http/src/__tests__/malformed-responses.test.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
 import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
-import {createFixture, key, send, sendRaw, type Fixture} from './support.js';
+import {createFixture, key, pick, send, sendRaw, type Fixture} from './support.js';
 
 let fixture: Fixture;
 
@@ -116,10 +116,6 @@
 	expect(fixture.received()).toHaveLength(0);
 });
 
-function pick<Item>(random: Random, items: readonly Item[]): Item {
-	return items[Math.floor(random() * items.length)]!;
-}
-
 /** Puts one fault at a random place of a response that is otherwise valid. */
 function createMalformedResponse(random: Random): string {
 	const digits = () => String(Math.floor(random() * 10_000));
--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -6,6 +6,7 @@
 import {digestKey} from '@shallotpond/configuration/key-digest';
 import {createLookupTables, type LookupTables} from '@shallotpond/configuration/lookup-tables';
 import {documentSchema} from '@shallotpond/configuration/document-schema';
+import {type Random} from '@shallotpond/kernel/random';
 import {createManualClock} from '@shallotpond/testkit/manual-clock';
 import {
 	createStandInTarget,
@@ -18,6 +19,11 @@
 export const key = 'secret-key-of-reed';
 export const otherKey = 'secret-key-of-moss';
 
+/** Draws one of the items. */
+export function pick<Item>(random: Random, items: readonly Item[]): Item {
+	return items[Math.floor(random() * items.length)]!;
+}
+
 export type FixtureOptions = {
 	readonly targets?: number;
 	readonly routes?: ReadonlyArray<Record<string, unknown>>;
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -4,6 +4,7 @@
  */
 import {type Clock} from '@shallotpond/kernel/clock';
 import {formatSocketAddress, type SocketAddress} from '@shallotpond/kernel/setting-kinds';
+import {isWholeNumber} from '@shallotpond/kernel/whole-number';
 import {callHttp, parseJsonResponse, type HttpResponse} from '@shallotpond/io-platform/http-call';
 import {PlatformError} from '@shallotpond/io-platform/platform-error';
 import {type StoreReader} from '@shallotpond/gateway/published-state-service';
@@ -36,16 +37,12 @@
 	readonly deleted?: boolean;
 };
 
-function isRevision(value: unknown): value is number {
-	return Number.isSafeInteger(value) && (value as number) >= 0;
-}
-
 /** Undefined if the entry has no key, no revision or a value that is not text. */
 function toItem(entry: unknown): PublishedItem | undefined {
 	const {key, value, revision, deleted} = (entry ?? {}) as Partial<WireItem>;
 	const isValid =
 		typeof key === 'string' &&
-		isRevision(revision) &&
+		isWholeNumber(revision) &&
 		(deleted === true || typeof value === 'string');
 	return isValid ? {key, value: deleted === true ? undefined : value, revision} : undefined;
 }
@@ -100,7 +97,7 @@
 
 	function readRevision(body: Readonly<Record<string, unknown>>): number {
 		const revision = body.as_of;
-		if (!isRevision(revision)) {
+		if (!isWholeNumber(revision)) {
 			throw new PlatformError('malformed-answer', 'the response of the store has no revision');
 		}
 
--- a/packages/shallotpond/src/slot-dispatch-service.ts
+++ b/packages/shallotpond/src/slot-dispatch-service.ts
@@ -217,6 +217,7 @@
 		start() {
 			cancelTicks = clock.every(tickIntervalMs, () => {
 				const now = clock.monotonic();
+				notices.prune(now);
 				router.send(coordinator.tick(now));
 				applyEffects(slotHolder.tick(now));
 			});
@@ -226,7 +227,6 @@
 		},
 		async acquire({signal, ...request}) {
 			const now = clock.monotonic();
-			notices.prune(now);
 			const excludedTargets = [...request.excludedTargets, ...notices.closed(now)];
 			const {request: requestId, effects} = slotHolder.ask({...request, excludedTargets}, now);
 			const result = new Promise<SlotResult>(resolve => {
