Keep a complete body when additional bytes follow it

Cause: the parser reports an error for bytes behind a complete response. The attempt destroyed its request at any error, which drops the part of the body that still waits for a slower caller; the stream then ended as complete.

Change: an error behind a complete response is ignored. An error within a response destroys it as before; without that, two tests of malformed responses saw a part forwarded that another attempt could have replaced.

--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -101,6 +101,7 @@
 		let wasWritten = false;
 		let idleBefore: number | undefined;
 		let interimResponses = 0;
+		let response: IncomingMessage | undefined;
 		const requestOptions = connections.optionsFor(target, service);
 		requestOptions.method = options.method;
 		requestOptions.path = options.path;
@@ -147,7 +148,11 @@
 		}
 
 		function failBroken(): void {
-			fail(wasWritten ? 'connection-broken' : 'connection-failed');
+			// Bytes behind a complete response break the connection, too. Destroying the request then
+			// would drop the end of the body that still waits for the caller.
+			if (response?.complete !== true) {
+				fail(wasWritten ? 'connection-broken' : 'connection-failed');
+			}
 		}
 
 		/**
@@ -188,6 +193,7 @@
 			fail('incomplete');
 		});
 		request.on('response', targetResponse => {
+			response = targetResponse;
 			settle({
 				kind: 'answered',
 				targetResponse,
