Refuse requests that may outlive a stopping instance

Cause: a stopping instance took requests until its process ended. Under steady traffic it was never idle, and the end cut what was in progress.

When nothing is in progress, the instance stops listening, answers what is under way and ends. At the limit, requests in progress get an answer and begun responses a reset. Idle connections are closed by the listener's own count: the runtime's function also destroyed responses that were not written yet.

The test of closing idle connections fails with the runtime's function (3.9 of 8 MB); those of the stop need functions that did not exist before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,7 @@
 } from './published-state-service.js';
 import {createRequestLog} from './request-log.js';
 import {createRoutingService, type RoutingService} from './routing-service.js';
+import {stopCallers} from './stop-callers.js';
 
 export type GatewayOptions = {
 	readonly clock: Clock;
@@ -112,15 +113,6 @@
  * not know the others yet.
  */
 const minAssumedInstances = 16;
-/**
- * Minimum time for which a stopping instance still accepts connections, or half of the stop limit
- * if that is shorter. The load balancer needs two failed health checks, one second apart, before it
- * stops sending callers to the instance.
- */
-const acceptPeriodMs = 3500;
-/** Time before the stop limit at which requests in progress are abandoned. */
-const stopReserveMs = 500;
-const stopCheckIntervalMs = 50;
 /** In a fleet that is running, seeds name other members within a few milliseconds. */
 const discoveryTimeMs = 600;
 /**
@@ -318,19 +310,6 @@
 	kernel.provide('published', published);
 	kernel.provide('callers', callers);
 
-	async function sleep(milliseconds: number): Promise<void> {
-		return new Promise(resolve => {
-			clock.after(milliseconds, resolve);
-		});
-	}
-
-	async function waitUntilIdle(deadline: number): Promise<void> {
-		while (callers.activeRequests > 0 && clock.monotonic() < deadline) {
-			callers.closeIdle();
-			await sleep(stopCheckIntervalMs);
-		}
-	}
-
 	return {
 		kernel,
 		setCallerIdleTimeout,
@@ -347,13 +326,10 @@
 			log.write('started', {callers: options.callers, failureDomain: options.self.failureDomain});
 		},
 		async stop() {
-			const deadline = clock.monotonic() + options.stopLimit - stopReserveMs;
 			isStopping = true;
 			log.write('stopping', {activeRequests: callers.activeRequests});
-			callers.beginLeaving();
 			fleet.flush();
-			await sleep(Math.min(acceptPeriodMs, options.stopLimit / 2));
-			await waitUntilIdle(deadline);
+			await stopCallers({clock, callers, stopLimit: options.stopLimit});
 			log.write('stopped', {activeRequests: callers.activeRequests});
 		},
 	};
--- a/packages/io-http/src/__tests__/graceful-stop.test.ts
+++ b/packages/io-http/src/__tests__/graceful-stop.test.ts
@@ -6,6 +6,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import {afterEach, expect, test} from '@jest/globals';
+import {defaultDialect} from '../request-dialect.js';
 import {
 	createFixture,
 	key,
@@ -34,7 +35,12 @@
 /** A keep-alive caller that sends its next request when the test calls `sendRequest`. */
 function connectCaller() {
 	const socket = net.connect(fixture.listener.port, '127.0.0.1');
-	const caller = {text: '', isClosed: false, sendRequest: () => socket.write(requestLine)};
+	const caller = {
+		text: '',
+		isClosed: false,
+		write: (text: string) => socket.write(text),
+		sendRequest: () => socket.write(requestLine),
+	};
 	socket.setEncoding('latin1');
 	socket.on('data', chunk => {
 		caller.text += String(chunk);
@@ -134,6 +140,97 @@
 	expect(fixture.state.outcomes).toMatchObject([{result: 'cancelled'}]);
 });
 
+test('a stopping instance refuses requests that may outlive it, and completes those it has taken', async () => {
+	await start({hasManualClock: true});
+	fixture.target.setBehaviour({kind: 'wait'});
+	const taken = send(fixture, {method: 'POST', body: 'swap'});
+	await waitUntil(() => fixture.received().length === 1);
+	const caller = connectCaller();
+	caller.write(`POST / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\nContent-Length: 4\r\n\r\nsw`);
+	await waitUntil(() => fixture.state.admitted === 2);
+	fixture.listener.beginLeaving();
+	// The route's timeout is 5 s.
+	fixture.listener.refuseBeyond(fixture.clock.monotonic() + 2500);
+	const refusals = [await send(fixture), await send(fixture, {method: 'POST', body: 'swap'})];
+	for (const refusal of refusals) {
+		expect(refusal).toMatchObject({status: 503, headers: {connection: 'close'}});
+		expect(refusal.headers['retry-after']).toBeDefined();
+		expect(problemOf(refusal)).toEqual({code: 'stopping', outcome: 'not-run'});
+	}
+
+	caller.write('ap');
+	await waitUntil(() => caller.text.includes('"stopping"'));
+	expect(fixture.received()).toHaveLength(1);
+	const headers = {'x-api-key': key, 'x-request-deadline': '2000'};
+	const short = send(fixture, {headers});
+	await waitUntil(() => fixture.received().length === 2);
+	fixture.target.releaseWaitingRequests();
+	expect(await taken).toMatchObject({status: 200});
+	expect(await short).toMatchObject({status: 200});
+	await fixture.listener.stop();
+});
+
+test('closing idle connections cuts no response that is still being written', async () => {
+	const size = 8_000_000;
+	// A response without a length is held until its end and then written in one piece.
+	const dialect = {...defaultDialect, acceptsUnframed: true};
+	await start({
+		hasManualClock: true,
+		listener: {dialect, limits: {maxHeldResponseBytes: 2 * size}},
+	});
+	const idle = connectCaller();
+	idle.sendRequest();
+	await waitUntil(() => countResponses(idle.text) === 1);
+	const body = 'handbook'.repeat(size / 8);
+	fixture.target.queueBehaviours({
+		kind: 'raw',
+		bytes: `HTTP/1.1 200 OK\r\n\r\n${body}`,
+		ends: true,
+	});
+	let bytes = 0;
+	let ending: string | undefined;
+	http.get(
+		{host: '127.0.0.1', port: fixture.listener.port, agent: false, headers: {'x-api-key': key}},
+		response => {
+			response.on('data', (chunk: Uint8Array) => {
+				bytes += chunk.length;
+			});
+			response.on('end', () => {
+				ending = 'whole';
+			});
+			response.on('error', ({message}) => {
+				ending = message;
+			});
+			response.pause();
+			setTimeout(() => {
+				fixture.listener.closeIdle();
+				response.resume();
+			}, 50);
+		},
+	);
+	await waitUntil(() => ending !== undefined);
+	expect(ending).toBe('whole');
+	expect(bytes).toBe(size);
+	expect(idle.isClosed).toBe(true);
+	await fixture.listener.stop();
+});
+
+test('at the end of a stop, a request in progress gets an answer and a part of a response is reset', async () => {
+	await start();
+	fixture.target.queueBehaviours({kind: 'stall'}, {kind: 'file', size: 50_000, stopAfter: 20_000});
+	const stalled = send(fixture, {method: 'POST', body: 'swap'});
+	await waitUntil(() => fixture.received().length === 1);
+	const caller = connectCaller();
+	caller.sendRequest();
+	await waitUntil(() => countResponses(caller.text) === 1);
+	fixture.listener.stopListening();
+	await fixture.listener.abandonRequests();
+	expect(problemOf(await stalled)).toEqual({code: 'cancelled', outcome: 'may-have-run'});
+	await waitUntil(() => caller.isClosed);
+	expect(caller.text.length).toBeLessThan(50_000);
+	expect(await send(fixture)).toMatchObject({error: expect.stringContaining('ECONNREFUSED')});
+});
+
 test('a port that is in use makes start fail, with the address in the message', async () => {
 	await start();
 	const {port} = fixture.listener;
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -65,8 +65,23 @@
 	beginLeaving(): void;
 	/** Sets the milliseconds after which a connection that becomes idle from now on is closed. */
 	setIdleTimeout(timeout: number): void;
-	/** Closes the connections on which no request is in progress. */
+	/**
+	 * From now on, refuses the requests whose deadline is later than `deadline` (monotonic
+	 * milliseconds), because the instance may end before them. Those that were passed on continue.
+	 */
+	refuseBeyond(deadline: number): void;
+	/**
+	 * Closes the connections that have served a request and on which nothing is in progress, also no
+	 * response that is still being written.
+	 */
 	closeIdle(): void;
+	/** Accepts no new connections; the open ones continue. */
+	stopListening(): void;
+	/**
+	 * Cancels the requests in progress, and resets the connections whose responses are not written
+	 * after `abandonTimeoutMs`, so that no caller takes a part of a response for the whole.
+	 */
+	abandonRequests(): Promise<void>;
 	/**
 	 * Accepts no new connections and waits until the open ones have closed: after a response with
 	 * `Connection: close`, or after the idle timeout. After `stopTimeout` it cancels the remaining
@@ -77,6 +92,8 @@
 
 type CallerConnection = {
 	readonly requests: Set<Cancellation>;
+	/** Bytes that had been read when the latest response was written; undefined before the first. */
+	servedBytes: number | undefined;
 	/** Set when a problem closes the connection; later requests on it are ignored. */
 	isClosing: boolean;
 };
@@ -109,6 +126,9 @@
 
 /** Milliseconds that requests get to send their responses after `stop` has cancelled them. */
 const finalResponseTimeoutMs = 1000;
+/** The same for `abandonRequests`, which is called when the process is about to end. */
+const abandonTimeoutMs = 150;
+const abandonCheckIntervalMs = 10;
 
 /** Declared bytes of a refused, unread body up to which its connection stays open. */
 const maxDrainedBodyBytes = 65_536;
@@ -144,9 +164,10 @@
 		tables: () => policy.tables(),
 		interval: limits.keyCheckInterval,
 	});
-	const callerConnections = new WeakMap<Duplex, CallerConnection>();
+	const callerConnections = new Map<Duplex, CallerConnection>();
 	const activeRequests = new Set<Cancellation>();
 	let isLeaving = false;
+	let latestDeadline = Number.POSITIVE_INFINITY;
 
 	const handler = createRequestHandler({
 		policy,
@@ -163,6 +184,7 @@
 			isLeaving: () => isLeaving,
 		}),
 		keyWatch,
+		mayTake: deadline => deadline <= latestDeadline,
 		dialect,
 		protocol: tls === undefined ? 'http' : 'https',
 		isTrustedForwarder: options.isTrustedForwarder ?? (() => false),
@@ -207,12 +229,13 @@
 		response: ServerResponse,
 		expectsContinue: boolean,
 	): Promise<void> {
-		const connection = callerConnections.get(request.socket)!;
-		const {requests} = connection;
-		if (connection.isClosing) {
+		const connection = callerConnections.get(request.socket);
+		if (connection === undefined || connection.isClosing) {
 			return;
 		}
 
+		const {requests} = connection;
+
 		// Checked before the parser continues, so that no request behind a refused head is run.
 		const check = checkRequestHead(request, limits);
 		if (check.kind === 'bad') {
@@ -231,6 +254,7 @@
 		response.once('close', () => {
 			requests.delete(cancellation);
 			activeRequests.delete(cancellation);
+			connection.servedBytes = request.socket.bytesRead;
 		});
 		// The reader of the body, if any, handles these errors; unhandled, they would end the process.
 		request.on('error', () => undefined);
@@ -254,8 +278,9 @@
 
 	function addConnection(socket: Socket): void {
 		const requests = new Set<Cancellation>();
-		callerConnections.set(socket, {requests, isClosing: false});
+		callerConnections.set(socket, {requests, servedBytes: undefined, isClosing: false});
 		socket.once('close', () => {
+			callerConnections.delete(socket);
 			for (const cancellation of requests) {
 				cancellation.cancel('caller-gone');
 				activeRequests.delete(cancellation);
@@ -364,8 +389,39 @@
 		setIdleTimeout(timeout) {
 			server.keepAliveTimeout = timeout;
 		},
+		refuseBeyond(deadline) {
+			latestDeadline = deadline;
+		},
 		closeIdle() {
-			server.closeIdleConnections();
+			// `http.Server#closeIdleConnections` would also drop a response that has ended but is not
+			// written yet.
+			for (const [socket, {requests, servedBytes}] of callerConnections) {
+				const {bytesRead} = socket as Socket;
+				if (requests.size === 0 && servedBytes === bytesRead) {
+					socket.destroy();
+				}
+			}
+		},
+		stopListening() {
+			net.Server.prototype.close.call(server);
+		},
+		async abandonRequests() {
+			for (const cancellation of activeRequests) {
+				cancellation.cancel('stopped');
+			}
+
+			const end = clock.monotonic() + abandonTimeoutMs;
+			while (activeRequests.size > 0 && clock.monotonic() < end) {
+				await new Promise<void>(resolve => {
+					clock.after(abandonCheckIntervalMs, resolve);
+				});
+			}
+
+			for (const [socket, {requests}] of callerConnections) {
+				if (requests.size > 0) {
+					resetSocket(socket as Socket);
+				}
+			}
 		},
 		async stop() {
 			isLeaving = true;
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -40,6 +40,8 @@
 	readonly tracer: RequestTracer;
 	readonly forwarder: Forwarder;
 	readonly keyWatch: KeyWithdrawalWatch;
+	/** Whether a request with this deadline (monotonic milliseconds) may still be passed on. */
+	readonly mayTake: (deadline: number) => boolean;
 	readonly dialect: RequestDialect;
 	readonly protocol: 'http' | 'https';
 	/** Whether headers about the client, such as `X-Forwarded-For`, are trusted from this address. */
@@ -79,6 +81,8 @@
  * or is isolated (may have missed the withdrawal of a key).
  */
 const notReadyRetryAfterMs = 300;
+/** Milliseconds after which a request that a stopping instance refuses should reach another one. */
+const stoppingRetryAfterMs = 100;
 
 /**
  * Workspace name under which requests without a valid key on an open route are counted. The colon
@@ -301,6 +305,11 @@
 			return refuse(bodyFailureProblems[body]);
 		}
 
+		// The instance may have begun to stop while the body arrived.
+		if (!options.mayTake(deadline)) {
+			return refuse('stopping', stoppingRetryAfterMs);
+		}
+
 		const {request, response, cancellation} = received;
 		const service = policy.chooseService?.(authorized.route) ?? authorized.route.service;
 		policy.countRequest(service);
@@ -354,6 +363,11 @@
 				return refuseEarly(request, 'isolated', notReadyRetryAfterMs);
 			}
 
+			const deadlines = deadlinesOf(request, route);
+			if (head.bodyLength === 0 && !options.mayTake(deadlines.deadline)) {
+				return refuseEarly(request, 'stopping', stoppingRetryAfterMs);
+			}
+
 			const span = options.tracer.startRequest({
 				id: requestIdOf(request),
 				method: request.method!,
@@ -375,7 +389,7 @@
 				stopWatching?.();
 				span.end(response.writableFinished ? response.statusCode : 0);
 			});
-			return forward(received, authorized, deadlinesOf(request, route), span);
+			return forward(received, authorized, deadlines, span);
 		},
 	};
 }
