Tell new instances which requests crash targets

Each crash breaks requests of other callers.

Cause: a crash is reported for 2.5 s, by the instance that saw it. No instance told a later one what it remembers.

Change: a new instance asks members that run for longer, until the whole answers of two have arrived. Besides, a request that a target runs to a response is forgotten by all members, because it only was at targets that others crashed: a popular request of one caller could be refused for ten minutes because of the request of another.

--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -137,6 +137,7 @@
 				workspaces: new Map(),
 				crashes: [],
 				leavingTargets: [],
+				clearedRequests: [],
 				configuration: {version: 1, revision: 1, confirmedAgo: 0},
 				isLeaving: false,
 			}),
@@ -144,6 +145,9 @@
 			onLoad: routing.recordLoad,
 			onUsage: () => undefined,
 			onCrashes: () => undefined,
+			onClearedRequests: () => undefined,
+			suspects: () => [],
+			onSuspects: () => undefined,
 			onLeavingTargets: () => undefined,
 			onConfiguration: () => undefined,
 		});
--- a/packages/gateway/src/gateway-request-policy.ts
+++ b/packages/gateway/src/gateway-request-policy.ts
@@ -128,8 +128,11 @@
 					crashes.record(crash, clock.monotonic());
 					log.write('request-broke-connection', crash);
 				},
-				finish() {
-					// Nothing depends on the end of an attempt.
+				finish(hasRun) {
+					// Without suspects there is nothing to clear, and no digest is needed.
+					if (hasRun && crashes.hasSuspects) {
+						crashes.clear(shorten(fingerprint()), clock.monotonic());
+					}
 				},
 			};
 		},
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -190,6 +190,7 @@
 			},
 			isLeaving: isStopping,
 			leavingTargets: routing.recentlyLeaving(clock.monotonic()),
+			clearedRequests: crashes.recentlyCleared(clock.monotonic()),
 		}),
 		onTargets: routing.merge,
 		onLoad: routing.recordLoad,
@@ -197,6 +198,9 @@
 			rateLimiter.recordUsage(workspace, usage, now);
 		},
 		onCrashes: crashes.merge,
+		onClearedRequests: crashes.mergeCleared,
+		suspects: crashes.suspects,
+		onSuspects: crashes.mergeSuspects,
 		onLeavingTargets: routing.mergeLeaving,
 		onConfiguration(state, from) {
 			published.recordMemberState(state, from);
--- a/packages/io-fleet/src/__tests__/fleet-codec.test.ts
+++ b/packages/io-fleet/src/__tests__/fleet-codec.test.ts
@@ -37,6 +37,16 @@
 		crashes: [{fingerprint: 'a1b2', target: 'i-1'}],
 		isLeaving: false,
 		leavingTargets: ['i-2@7'],
+		clearedRequests: ['c3d4'],
+	},
+	{kind: 'suspects-request', from},
+	{
+		kind: 'suspects-answer',
+		from,
+		isInformed: true,
+		part: 1,
+		parts: 2,
+		suspects: [{fingerprint: 'a1b2', targets: ['i-1', 'i-2', 'i-3'], expiresIn: 599_000}],
 	},
 ];
 
@@ -63,11 +73,13 @@
 		}
 	});
 
-	test('a report of an instance that does not know leaving targets is accepted', () => {
+	test('a report of an instance that does not know leaving targets or cleared requests is accepted', () => {
 		const report = messages[2] as FleetMessage & {kind: 'report'};
 		const values = unpack(encodeFleetMessage(report)) as unknown[];
-		const bytes = pack(values.slice(0, -1));
-		expect(decode(bytes).messages).toEqual([{...report, leavingTargets: []}]);
+		const withoutCleared = {...report, clearedRequests: []};
+		expect(decode(pack(values.slice(0, -1))).messages).toEqual([withoutCleared]);
+		const bytes = pack(values.slice(0, -2));
+		expect(decode(bytes).messages).toEqual([{...withoutCleared, leavingTargets: []}]);
 	});
 
 	/** Positions of a report: 3 to 12 are its fields, 2 is the sender. */
@@ -75,6 +87,8 @@
 		['a host name as address', 2, ['example.com', 'north', 1]],
 		['an object as address', 2, [{}, 'north', 1]],
 		['no sender', 2, null],
+		['cleared requests that are no list', 13, 'c3d4'],
+		['a cleared request that is no name', 13, [7]],
 		['a flag that is a text', 3, 'yes'],
 		['a version that is not a number', 4, Number.NaN],
 		['a negative revision', 5, -1],
--- a/packages/io-fleet/src/fleet-codec.ts
+++ b/packages/io-fleet/src/fleet-codec.ts
@@ -9,6 +9,7 @@
 	type FleetMessage,
 	type Member,
 	type FleetReport,
+	type SuspectRequest,
 	type TargetCrash,
 	type TargetLoad,
 	type TargetReport,
@@ -100,6 +101,15 @@
 	return [toText(incarnation), toCount(requests)];
 }
 
+function toSuspect(value: unknown): SuspectRequest {
+	const [fingerprint, targets, expiresIn] = toFields(value);
+	return {
+		fingerprint: toText(fingerprint),
+		targets: toList(targets, toText),
+		expiresIn: toCount(expiresIn),
+	};
+}
+
 function toCrash(value: unknown): TargetCrash {
 	const [fingerprint, target] = toFields(value);
 	return {fingerprint: toText(fingerprint), target: toText(target)};
@@ -117,6 +127,7 @@
 	Array<[string, number]>,
 	Array<[string, string]>,
 	string[],
+	string[],
 ];
 
 const encoders = {
@@ -144,6 +155,19 @@
 		report.inFlight.map(([incarnation, requests]) => [incarnation, requests]),
 		report.crashes.map(({fingerprint, target}) => [fingerprint, target]),
 		[...report.leavingTargets],
+		[...report.clearedRequests],
+	],
+	'suspects-request': () => [],
+	'suspects-answer': ({
+		isInformed,
+		part,
+		parts,
+		suspects,
+	}: FleetMessage & {kind: 'suspects-answer'}) => [
+		isInformed,
+		part,
+		parts,
+		suspects.map(({fingerprint, targets, expiresIn}) => [fingerprint, targets, expiresIn]),
 	],
 	'roster-request': () => [],
 	'roster-answer': (message: FleetMessage & {kind: 'roster-answer'}) =>
@@ -164,8 +188,9 @@
 			isLeaving,
 			inFlight,
 			crashes,
-			// Instances of an earlier version do not send this field.
+			// Instances of an earlier version do not send these fields.
 			leavingTargets = [],
+			clearedRequests = [],
 		] = fields;
 		return {
 			kind: 'report',
@@ -183,8 +208,18 @@
 			inFlight: toList(inFlight, toTargetLoad),
 			crashes: toList(crashes, toCrash),
 			leavingTargets: toList(leavingTargets, toText),
+			clearedRequests: toList(clearedRequests, toText),
 		};
 	},
+	'suspects-request': from => ({kind: 'suspects-request', from}),
+	'suspects-answer': (from, [isInformed, part, parts, suspects]) => ({
+		kind: 'suspects-answer',
+		from,
+		isInformed: toFlag(isInformed),
+		part: toCount(part),
+		parts: toCount(parts),
+		suspects: toList(suspects, toSuspect),
+	}),
 	'roster-request': from => ({kind: 'roster-request', from}),
 	'roster-answer': (from, fields) => ({
 		kind: 'roster-answer',
--- a/packages/io-http/src/__tests__/at-most-once.test.ts
+++ b/packages/io-http/src/__tests__/at-most-once.test.ts
@@ -210,6 +210,27 @@
 	expect(fixture.received()).toHaveLength(2);
 });
 
+test('a request counts as run to a response only where its target has run it', async () => {
+	const hasRun: boolean[] = [];
+	await start({
+		targets: 1,
+		policy: {
+			acquireAttemptPermit: async () => ({
+				kind: 'allowed',
+				reportCrash: async () => undefined,
+				finish: value => void hasRun.push(value),
+			}),
+		},
+	});
+	fixture.target.queueBehaviours({kind: 'echo'}, {kind: 'answer', status: 500}, {kind: 'shed'});
+	for (let request = 0; request < 3; request++) {
+		await send(fixture, {method: 'POST'});
+	}
+
+	// The last permit is that of the second attempt, for which no target is left.
+	expect(hasRun).toEqual([true, true, false, false]);
+});
+
 test('retries end with the budget', async () => {
 	await start();
 	fixture.target.setBehaviour({kind: 'crash'});
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -615,7 +615,6 @@
 			return setbackOf(attempt);
 		}
 
-		permit.finish(true);
 		const {targetResponse} = attempt;
 		const generation = targetResponse.headers['x-target-generation'];
 		const times: AttemptTimes = {
@@ -624,6 +623,7 @@
 			generation: typeof generation === 'string' ? generation : undefined,
 		};
 		const refused = checkResponseHead(request, progress, targetResponse);
+		permit.finish(refused === undefined || refused.setback.runState === 'ran');
 		recordNotice(grant, targetResponse, refused);
 		if (refused !== undefined) {
 			attempt.destroy();
--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -95,10 +95,10 @@
 	 */
 	reportCrash(target: string): Promise<void>;
 	/**
-	 * Reports that the attempt ended in any other way, or that none was made. `hasResponse` tells
-	 * whether the head of a response has arrived.
+	 * Reports that the attempt ended in any other way, or that none was made. `hasRun` tells whether
+	 * the target ran the request to a response; a refusal to run it is none.
 	 */
-	finish(hasResponse: boolean): void;
+	finish(hasRun: boolean): void;
 };
 
 export type RequestPolicy = {
--- a/packages/policy-fleet/src/__tests__/fleet-member.test.ts
+++ b/packages/policy-fleet/src/__tests__/fleet-member.test.ts
@@ -7,7 +7,7 @@
 import {describe, expect, test} from '@jest/globals';
 import {createSeededRandom} from '@shallotpond/kernel/random';
 import {createFleetMember, type FleetMember} from '../fleet-member.js';
-import {type Member, type TargetReport} from '../fleet-message.js';
+import {type Member, type SuspectRequest, type TargetReport} from '../fleet-message.js';
 
 type Instance = {
 	readonly self: Member;
@@ -17,13 +17,18 @@
 	readonly joined: string[];
 	/** Targets reported as leaving. */
 	readonly leaving: string[];
+	/** Fingerprints of requests that other members remember. */
+	readonly learned: string[];
 	readonly content: {
+		suspects?: SuspectRequest[];
 		isLeaving?: boolean;
 		leavingTargets?: string[];
 		targets: TargetReport[];
 		workspaces: Map<string, {asked: number; admitted: number}>;
 	};
 	messagesSent: number;
+	/** Messages sent by kind. */
+	readonly sentByKind: Map<string, number>;
 	/** Reports that came directly from members of the same failure domain. */
 	nearReports: number;
 };
@@ -46,6 +51,7 @@
 		const received: TargetReport[] = [];
 		const joined: string[] = [];
 		const leaving: string[] = [];
+		const learned: string[] = [];
 		const admitted = new Map<string, number>();
 		const content: Instance['content'] = {targets: [], workspaces: new Map()};
 		const member = createFleetMember({
@@ -58,6 +64,7 @@
 				workspaces: content.workspaces,
 				crashes: [],
 				leavingTargets: content.leavingTargets ?? [],
+				clearedRequests: [],
 				configuration: {version: 1, revision: 1, confirmedAgo: 0},
 				isLeaving: content.isLeaving ?? false,
 			}),
@@ -67,6 +74,9 @@
 				admitted.set(total.workspace, (admitted.get(total.workspace) ?? 0) + total.admitted);
 			},
 			onCrashes: () => undefined,
+			onClearedRequests: () => undefined,
+			suspects: () => content.suspects ?? [],
+			onSuspects: suspects => void learned.push(...suspects.map(({fingerprint}) => fingerprint)),
 			onLeavingTargets: incarnations => void leaving.push(...incarnations),
 			onConfiguration: () => undefined,
 			onJoined: ({address: other}) => void joined.push(other),
@@ -77,8 +87,10 @@
 			received,
 			joined,
 			leaving,
+			learned,
 			admitted,
 			content,
+			sentByKind: new Map(),
 			messagesSent: 0,
 			nearReports: 0,
 		};
@@ -93,6 +105,7 @@
 	function deliver(from: Instance, outgoing: ReturnType<FleetMember['tick']>): void {
 		for (const {to, message} of outgoing) {
 			from.messagesSent++;
+			from.sentByKind.set(message.kind, (from.sentByKind.get(message.kind) ?? 0) + 1);
 			const receiver = instances.get(to);
 			if (receiver !== undefined && isDelivered(from.self.address, to)) {
 				const isOwn = message.from.address === from.self.address;
@@ -288,3 +301,69 @@
 		expect(sentBy(60)).toBeLessThan(sentBy(15) * 1.5);
 	});
 });
+
+describe('requests that crash targets', () => {
+	const suspects = Array.from({length: 25}, (_, index) => ({
+		fingerprint: `request-${index}`,
+		targets: ['t-1', 't-2', 't-3'],
+		expiresIn: 60_000,
+	}));
+
+	function createInformedFleet(size: number) {
+		const fleet = createFleet(size, ['10.0.0.0']);
+		fleet.run(8000);
+		for (const {content} of fleet.instances.values()) {
+			content.suspects = suspects;
+		}
+
+		return fleet;
+	}
+
+	test('an instance that starts later learns them from a few members within 3 s, also if datagrams are lost', () => {
+		const fleet = createInformedFleet(30);
+		const random = createSeededRandom(3);
+		fleet.setDelivery(() => random() < 0.7);
+		const late = fleet.add('10.0.1.1', 8000);
+		fleet.run(3000);
+		expect(new Set(late.learned)).toEqual(new Set(suspects.map(({fingerprint}) => fingerprint)));
+	});
+
+	test('a member that starts asks no more than a few members, and each answer fits into packets', () => {
+		const fleet = createInformedFleet(30);
+		const late = fleet.add('10.0.1.1', 8000);
+		fleet.run(10_000);
+		expect(late.sentByKind.get('suspects-request')).toBe(2);
+		const answers = [...fleet.instances.values()].map(
+			({sentByKind}) => sentByKind.get('suspects-answer') ?? 0,
+		);
+		expect(answers.reduce((sum, count) => sum + count, 0)).toBeLessThanOrEqual(6 + 30 * 40);
+		expect(Math.max(...answers)).toBeGreaterThan(0);
+	});
+
+	test('members that have just started themselves do not count as informed', () => {
+		const fleet = createInformedFleet(4);
+		const first = fleet.add('10.0.1.1', 8000);
+		const second = fleet.add('10.0.1.2', 8001);
+		fleet.setDelivery((from, to) => !(to === '10.0.1.2' && from.startsWith('10.0.0.')));
+		fleet.run(1000);
+		expect(second.learned).toEqual([]);
+		fleet.setDelivery(() => true);
+		fleet.run(1500);
+		expect(first.learned.length).toBeGreaterThan(0);
+		expect(second.learned.length).toBeGreaterThan(0);
+	});
+
+	test('a fleet that starts at once stops asking, because nobody remembers', () => {
+		const fleet = createFleet(30, ['10.0.0.0']);
+		fleet.run(7000);
+		const counts = [...fleet.instances.values()].map(
+			({sentByKind}) => sentByKind.get('suspects-request') ?? 0,
+		);
+		expect(Math.max(...counts)).toBeLessThanOrEqual(32);
+		fleet.run(5000);
+		const later = [...fleet.instances.values()].map(
+			({sentByKind}) => sentByKind.get('suspects-request') ?? 0,
+		);
+		expect(later).toEqual(counts);
+	});
+});
--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -7,6 +7,7 @@
 import {type Random} from '@shallotpond/kernel/random';
 import {createFleetRoster, type FleetRoster, type FleetRosterOptions} from './fleet-roster.js';
 import {createReportSchedule, type ReportContent} from './report-schedule.js';
+import {createSuspectLearning, type SuspectLearningOptions} from './suspect-learning.js';
 import {
 	type ConfigurationState,
 	type TargetCrash,
@@ -42,6 +43,12 @@
 	 */
 	readonly onUsage: (usage: Omit<WorkspaceUsageTotal, 'before'>, now: number) => void;
 	readonly onCrashes: (crashes: readonly TargetCrash[], now: number) => void;
+	/** Called with the fingerprints of requests that are no longer suspected. */
+	readonly onClearedRequests: (fingerprints: readonly string[], now: number) => void;
+	/** The requests that crash targets, for members that start later. */
+	readonly suspects: SuspectLearningOptions['suspects'];
+	/** Called with the requests that another member remembers. */
+	readonly onSuspects: SuspectLearningOptions['onSuspects'];
 	readonly onLeavingTargets: (incarnations: readonly string[], now: number) => void;
 	readonly onConfiguration: (state: ConfigurationState, from: Member, now: number) => void;
 };
@@ -81,6 +88,13 @@
 		random,
 		takeContent: options.takeContent,
 	});
+	const suspectLearning = createSuspectLearning({
+		self,
+		roster,
+		random,
+		suspects: options.suspects,
+		onSuspects: options.onSuspects,
+	});
 	/**
 	 * Last received totals, by address of the member and by workspace. `startedAt` is the start of
 	 * the process at the address; the totals of its successor start anew.
@@ -134,6 +148,7 @@
 
 		handleTotals(report.from, report.workspaces, now);
 		options.onCrashes(report.crashes, now);
+		options.onClearedRequests(report.clearedRequests, now);
 		options.onLeavingTargets(report.leavingTargets, now);
 	}
 
@@ -197,6 +212,15 @@
 					return [];
 				}
 
+				case 'suspects-request': {
+					return suspectLearning.createAnswers(message.from, now);
+				}
+
+				case 'suspects-answer': {
+					suspectLearning.receiveAnswer(message, now);
+					return [];
+				}
+
 				case 'report': {
 					handleReport(message, now);
 					return [];
@@ -209,7 +233,7 @@
 				roster.removeSilent(now);
 			}
 
-			return [...requestRoster(now), ...schedule.tick(now)];
+			return [...requestRoster(now), ...suspectLearning.tick(now), ...schedule.tick(now)];
 		},
 		get hasUrgentRelays() {
 			return schedule.hasUrgentRelays;
--- a/packages/policy-fleet/src/fleet-message.ts
+++ b/packages/policy-fleet/src/fleet-message.ts
@@ -90,6 +90,34 @@
 	 * also those of earlier reports.
 	 */
 	readonly leavingTargets: readonly string[];
+	/**
+	 * Fingerprints of requests that broke connections and to which a target has responded to the
+	 * sender in the last few seconds, also those of earlier reports.
+	 */
+	readonly clearedRequests: readonly string[];
+};
+
+/** A request that broke connections at several targets, as the sender remembers it. */
+export type SuspectRequest = {
+	readonly fingerprint: string;
+	/** Ids of targets. */
+	readonly targets: readonly string[];
+	/** Milliseconds for which the sender will still remember it. */
+	readonly expiresIn: number;
+};
+
+/** Asks for the requests that crash targets, which a new instance cannot know. */
+export type SuspectsRequest = {readonly kind: 'suspects-request'; readonly from: Member};
+
+export type SuspectsAnswer = {
+	readonly kind: 'suspects-answer';
+	readonly from: Member;
+	/** Whether the sender has been told by other members itself, or has run for long enough. */
+	readonly isInformed: boolean;
+	/** Number of this message among those that make up the answer, from 0. */
+	readonly part: number;
+	readonly parts: number;
+	readonly suspects: readonly SuspectRequest[];
 };
 
 export type RosterRequest = {readonly kind: 'roster-request'; readonly from: Member};
@@ -100,7 +128,8 @@
 	readonly members: readonly Member[];
 };
 
-export type FleetMessage = FleetReport | RosterRequest | RosterAnswer;
+export type FleetMessage =
+	FleetReport | RosterRequest | RosterAnswer | SuspectsRequest | SuspectsAnswer;
 
 export type OutboundFleetMessage = {
 	/** IP address of the receiver. */
--- a/packages/policy-fleet/src/report-schedule.ts
+++ b/packages/policy-fleet/src/report-schedule.ts
@@ -40,6 +40,8 @@
 	readonly isLeaving: boolean;
 	/** Targets found to be leaving in the last few seconds; each report repeats them. */
 	readonly leavingTargets: readonly string[];
+	/** Requests cleared in the last few seconds; each report repeats them. */
+	readonly clearedRequests: readonly string[];
 };
 
 export type ReportScheduleOptions = {
@@ -182,6 +184,7 @@
 			inFlight: audience === near ? content.inFlight : [],
 			workspaces,
 			crashes: content.crashes,
+			clearedRequests: content.clearedRequests,
 			isLeaving: content.isLeaving,
 			leavingTargets: content.leavingTargets,
 		};
--- a/packages/policy-routing/src/__tests__/crash-history.test.ts
+++ b/packages/policy-routing/src/__tests__/crash-history.test.ts
@@ -80,4 +80,60 @@
 		history.prune(60_001);
 		expect(history.hasSuspects).toBe(false);
 	});
+
+	test('an instance that starts later refuses what it is told, for no longer than the others', () => {
+		const history = createCrashHistory();
+		for (const target of ['t-1', 't-2', 't-3', 't-4']) {
+			history.record({fingerprint: 'bad', target}, 0);
+		}
+
+		history.record({fingerprint: 'coincidence', target: 't-1'}, 0);
+		const told = history.suspects(100_000);
+		expect(told).toEqual([
+			{fingerprint: 'bad', targets: ['t-1', 't-2', 't-3'], expiresIn: 500_000},
+		]);
+		const late = createCrashHistory();
+		late.mergeSuspects(told, 50);
+		expect(late.isRefused('bad', 60)).toBe(true);
+		expect(late.isRefused('bad', 500_051)).toBe(false);
+	});
+
+	test('what an instance is told does not make it remember a request longer than its own crashes', () => {
+		const history = createCrashHistory();
+		const targets = ['t-1', 't-2', 't-3'];
+		history.mergeSuspects([{fingerprint: 'r', targets, expiresIn: Number.MAX_SAFE_INTEGER}], 0);
+		expect(history.isRefused('r', 599_999)).toBe(true);
+		expect(history.isRefused('r', 600_000)).toBe(false);
+	});
+
+	test('only the latest requests are passed on, so that a few datagrams suffice', () => {
+		const history = createCrashHistory();
+		for (let request = 0; request < 200; request++) {
+			history.record({fingerprint: `r-${request}`, target: 't-1'}, request);
+			history.record({fingerprint: `r-${request}`, target: 't-2'}, request);
+		}
+
+		const told = history.suspects(1000);
+		expect(told).toHaveLength(64);
+		expect(told.at(-1)!.fingerprint).toBe('r-199');
+	});
+
+	test('a request that a target ran to a response is not refused because other requests crash its targets', () => {
+		const {instances, report} = createFleet(3);
+		const [first, second, third] = instances;
+		for (const [at, target] of ['t-1', 't-2', 't-3'].entries()) {
+			first!.record({fingerprint: 'popular', target}, at * 1000);
+			report(at * 1000);
+			second!.clear('popular', at * 1000 + 10);
+			for (const instance of [first!, third!]) {
+				instance.mergeCleared(second!.recentlyCleared(at * 1000 + 20));
+			}
+		}
+
+		for (const instance of instances) {
+			expect(instance.isRefused('popular', 3000)).toBe(false);
+		}
+
+		expect(second!.recentlyCleared(6000)).toEqual([]);
+	});
 });
--- a/packages/policy-routing/src/crash-history.ts
+++ b/packages/policy-routing/src/crash-history.ts
@@ -15,11 +15,39 @@
 	readonly target: string;
 };
 
+/** What an instance remembers of one request that broke connections at two or more targets. */
+export type SuspectRequest = {
+	readonly fingerprint: string;
+	/** Ids of targets at which it did, at most `maxCrashes`. */
+	readonly targets: readonly string[];
+	/** Milliseconds for which it is still remembered. */
+	readonly expiresIn: number;
+};
+
 export type CrashHistory = {
 	/** Records a crash that this instance observed; counts each target once per request. */
 	record(crash: TargetCrash, now: number): void;
 	/** Adds crashes that another instance reported. */
 	merge(crashes: readonly TargetCrash[], now: number): void;
+	/**
+	 * Forgets a request that a target ran to a response: it does not crash targets, but was at targets
+	 * that crashed because of others.
+	 */
+	clear(fingerprint: string, now: number): void;
+	/** Forgets requests that another instance reported as cleared. */
+	mergeCleared(fingerprints: readonly string[]): void;
+	/**
+	 * Requests cleared by this instance within the last `reportWindowMs`, at most the newest
+	 * `maxReportedCrashes`.
+	 */
+	recentlyCleared(now: number): readonly string[];
+	/**
+	 * The requests that a new instance should know, at most the `maxPassedOnSuspects` whose crash was
+	 * recorded or reported latest. Linear in the number of requests kept.
+	 */
+	suspects(now: number): readonly SuspectRequest[];
+	/** Adds requests that another instance remembers. */
+	mergeSuspects(requests: readonly SuspectRequest[], now: number): void;
 	/**
 	 * Whether any request is suspected, because it broke a connection. While none is, no digest of a
 	 * request needs to be computed.
@@ -59,6 +87,10 @@
 const reportWindowMs = 2500;
 /** Maximum number of crashes in a report, so that the report fits into a datagram. */
 const maxReportedCrashes = 16;
+/** Maximum number of requests that a new instance is told, so that a few datagrams suffice. */
+const maxPassedOnSuspects = 64;
+/** Broken connections at fewer targets are mostly coincidence and are not passed on. */
+const minPassedOnCrashes = 2;
 /**
  * Maximum number of remembered requests. If there are more, the request whose crash was recorded or
  * reported longest ago is dropped.
@@ -75,6 +107,7 @@
 	/** By fingerprint, in the order in which a crash of the request was last recorded or reported. */
 	const suspects = new Map<string, Suspect>();
 	let observedCrashes: Array<{readonly crash: TargetCrash; readonly at: number}> = [];
+	let cleared: Array<{readonly fingerprint: string; readonly at: number}> = [];
 
 	/** Returns whether the crash is new: this request at this target was not known yet. */
 	function addCrash({fingerprint, target}: TargetCrash, now: number): boolean {
@@ -103,6 +136,45 @@
 				addCrash(crash, now);
 			}
 		},
+		clear(fingerprint, now) {
+			if (suspects.delete(fingerprint)) {
+				observedCrashes = observedCrashes.filter(({crash}) => crash.fingerprint !== fingerprint);
+				cleared.push({fingerprint, at: now});
+			}
+		},
+		mergeCleared(fingerprints) {
+			for (const fingerprint of fingerprints) {
+				suspects.delete(fingerprint);
+			}
+		},
+		recentlyCleared(now) {
+			cleared = cleared.filter(({at}) => now - at < reportWindowMs);
+			return cleared.slice(-maxReportedCrashes).map(({fingerprint}) => fingerprint);
+		},
+		suspects(now) {
+			return [...suspects]
+				.filter(([, {targets, expiresAt}]) => targets.size >= minPassedOnCrashes && now < expiresAt)
+				.slice(-maxPassedOnSuspects)
+				.map(([fingerprint, {targets, expiresAt}]) => ({
+					fingerprint,
+					targets: [...targets].slice(0, maxCrashes),
+					expiresIn: Math.round(expiresAt - now),
+				}));
+		},
+		mergeSuspects(requests, now) {
+			for (const {fingerprint, targets, expiresIn} of requests) {
+				const known = suspects.get(fingerprint);
+				const expiresAt = Math.max(known?.expiresAt ?? now, now + Math.min(expiresIn, retentionMs));
+				for (const target of targets) {
+					addCrash({fingerprint, target}, now);
+				}
+
+				const suspect = suspects.get(fingerprint);
+				if (suspect !== undefined) {
+					suspect.expiresAt = expiresAt;
+				}
+			}
+		},
 		get hasSuspects() {
 			return suspects.size > 0;
 		},
