Bound the response bodies that are held back by all requests together

A report of other operators: a faulty server sent bytes without end and the machine that had called it ran out of memory.

Change: a budget of 64 MiB for all held bodies of an instance; beyond it a body is forwarded as it arrives.

Evidence: the new test fails without the bound (the bodies are held to the end of the wait) and passes with it. Also adds a test for the report that a head that is cut gave a success with a short body: it passes on the untouched code too, at every position of three framings.

--- a/packages/io-http/src/__tests__/complete-responses.test.ts
+++ b/packages/io-http/src/__tests__/complete-responses.test.ts
@@ -7,6 +7,7 @@
 import http, {type IncomingMessage} from 'node:http';
 import {afterEach, expect, test} from '@jest/globals';
 import {readFilePiece, type StandInTargetBehaviour} from '@shallotpond/testkit/stand-in-target';
+import {defaultDialect} from '../request-dialect.js';
 import {
 	createFixture,
 	key,
@@ -411,3 +412,17 @@
 	expect(await result).toEqual(completeDownload);
 	expect(fixture.state.outcomes.map(outcome => outcome.result)).toEqual(['cancelled', 'ok']);
 });
+
+test.each([
+	['of declared length', 'HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\nContent-Length: 4\r\n\r\n'],
+	['in chunks', 'HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\nTransfer-Encoding: chunked\r\n\r\n'],
+	['without a length', 'HTTP/1.1 200 OK\r\nX-Seal: 3e1b\r\n\r\n'],
+])('a response %s that ends within its head is no success', async (_framing, head) => {
+	await start({targets: 1, listener: {dialect: {...defaultDialect, acceptsUnframed: true}}});
+	for (let length = 0; length < head.length; length++) {
+		fixture.target.queueBehaviours({kind: 'raw', bytes: head.slice(0, length), ends: true});
+		const response = await send(fixture, {method: 'POST', body: 'swap'});
+		expect([length, response.status]).toEqual([length, 502]);
+		expect(problemOf(response).outcome).toBe('may-have-run');
+	}
+});
--- a/packages/io-http/src/__tests__/endless-responses.test.ts
+++ b/packages/io-http/src/__tests__/endless-responses.test.ts
@@ -143,3 +143,39 @@
 	await waitUntil(() => fixture.target.openConnections === 0);
 	request.destroy();
 });
+
+test('bodies that many targets do not end are not all held in memory', async () => {
+	const size = 1_000_000;
+	await start({
+		routes: [{...route, timeout: 5000, stallTimeout: 5000, answerTimeout: 5000, attempts: 1}],
+		service: {slots: 20},
+		listener: {limits: {maxHeldResponseBytes: size, maxTotalHeldResponseBytes: 1_500_000}},
+	});
+	fixture.target.setBehaviour({kind: 'file', size, stopAfter: 600_000});
+	let begun = 0;
+	const requests = Array.from({length: 8}, () => {
+		const request = http.get({
+			host: '127.0.0.1',
+			port: fixture.listener.port,
+			agent: false,
+			headers: {'x-api-key': key},
+		});
+		request.on('error', () => undefined);
+		request.on('response', response => {
+			begun += Number(response.statusCode === 200);
+			response.on('error', () => undefined);
+			response.resume();
+		});
+		return request;
+	});
+	// At most two bodies fit into what may be held; the others must have been passed on.
+	await waitUntil(() => begun >= 6);
+	for (const request of requests) {
+		request.destroy();
+	}
+
+	await waitUntil(() => fixture.state.openGrants === 0);
+	// What was held is free again.
+	fixture.target.setBehaviour({kind: 'answer', body: 'x'.repeat(900_000)});
+	expect(await send(fixture)).toMatchObject({status: 200});
+});
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -34,6 +34,7 @@
 } from './repeated-response-filter.js';
 import {pumpResponse, type PumpResult} from './response-pump.js';
 import {startAttempt, type AttemptResponse, type AttemptFailure} from './attempt.js';
+import {createByteBudget} from './byte-budget.js';
 import {type Cancellation} from './cancellation.js';
 import {drainResponse} from './response-drain.js';
 import {createCallerHeaders} from './forwarded-headers.js';
@@ -243,6 +244,7 @@
 
 export function createForwarder(options: ForwarderOptions): Forwarder {
 	const {policy, clock, limits, counters, connections, dialect} = options;
+	const holdBudget = createByteBudget(limits.maxTotalHeldResponseBytes);
 
 	function isIdempotent(request: ForwardedRequest): boolean {
 		return request.route.idempotentMethods.includes(request.method);
@@ -502,6 +504,7 @@
 				}
 			},
 			holdBytes: progress.hasResponseBegun ? 0 : holdBytes,
+			holdBudget,
 			minBodyBytes,
 			exactBytes:
 				download === undefined
--- a/packages/io-http/src/http-limits.ts
+++ b/packages/io-http/src/http-limits.ts
@@ -33,6 +33,11 @@
 	 * 1 byte, is held back.
 	 */
 	readonly maxHeldResponseBytes: number;
+	/**
+	 * Maximum bytes that are held back of all responses together. Beyond it, responses are forwarded
+	 * as they arrive, so that targets that send large or endless bodies do not exhaust the memory.
+	 */
+	readonly maxTotalHeldResponseBytes: number;
 	/** Maximum bytes of the head of a target's response. */
 	readonly maxResponseHeaderBytes: number;
 	/** Maximum attempts for one request, the first included. */
@@ -72,6 +77,7 @@
 	maxPipelinedRequests: 16,
 	maxBufferedRequestBytes: 65_536,
 	maxHeldResponseBytes: 16_384,
+	maxTotalHeldResponseBytes: 67_108_864,
 	maxResponseHeaderBytes: 32_768,
 	maxAttempts: 3,
 	attemptTimeRatio: 0.5,
--- a/packages/io-http/src/response-pump.ts
+++ b/packages/io-http/src/response-pump.ts
@@ -7,6 +7,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {checkHeaderSyntax} from '@shallotpond/kernel/header-syntax';
+import {type ByteBudget} from './byte-budget.js';
 import {onAbort} from './cancellation.js';
 import {createIdleTimer, type IdleTimer} from './idle-timer.js';
 import {type AbortSignalLike} from './abort-signal.js';
@@ -44,6 +45,11 @@
 	readonly begin: (bodyBytes?: number) => void;
 	/** Bytes of the body to wait for before anything is forwarded; 0 if the response has begun. */
 	readonly holdBytes: number;
+	/**
+	 * Shared by all responses. If it is used up, the response is forwarded before `holdBytes` have
+	 * arrived.
+	 */
+	readonly holdBudget: ByteBudget;
 	/** Minimum bytes of a complete body; checked if the body ends before anything is forwarded. */
 	readonly minBodyBytes: number;
 	/** Bytes that the body must have, whatever its framing says; undefined for any number. */
@@ -76,6 +82,8 @@
 	return new Promise(resolve => {
 		const heldChunks: Uint8Array[] = [];
 		let heldBytes = 0;
+		/** Held bytes that were taken from the budget. */
+		let budgetedBytes = 0;
 		let forwardedBytes = 0;
 		let hasBegun = false;
 		let isFinished = false;
@@ -103,11 +111,17 @@
 			callerTimer?.stop();
 			cancelTotalTimer?.();
 			stopListening();
+			releaseBudget();
 			targetResponse.off('data', handleData).off('end', handleEnd).off('close', handleClose);
 			response.off('drain', handleDrain);
 			resolve({end, forwardedBytes});
 		}
 
+		function releaseBudget(): void {
+			options.holdBudget.release(budgetedBytes);
+			budgetedBytes = 0;
+		}
+
 		function startCallerTimer(): void {
 			if (callerTimer !== undefined) {
 				callerTimer.touch();
@@ -143,6 +157,8 @@
 				forward(heldChunks.length === 1 ? heldChunks[0]! : Buffer.concat(heldChunks, heldBytes));
 				heldChunks.length = 0;
 			}
+
+			releaseBudget();
 		}
 
 		function takeBody(chunk: Uint8Array): void {
@@ -158,7 +174,10 @@
 
 			heldChunks.push(chunk);
 			heldBytes += chunk.length;
-			if (heldBytes >= options.holdBytes) {
+			const isBudgeted = options.holdBudget.take(chunk.length);
+			budgetedBytes += isBudgeted ? chunk.length : 0;
+			// A body below the minimum is held in any case, because it must not be forwarded.
+			if (heldBytes >= options.holdBytes || (!isBudgeted && heldBytes >= options.minBodyBytes)) {
 				begin();
 			}
 		}
