Read a long body on after an early response

Cause: reading from the caller resumed only with 'drain' of the target request, which the runtime does not emit once the response is complete.

Change: 'drain' of the connection resumes it, too; the rest of a body whose target request has closed is discarded.

--- a/packages/io-http/src/__tests__/request-dialect.test.ts
+++ b/packages/io-http/src/__tests__/request-dialect.test.ts
@@ -9,7 +9,7 @@
 import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
 import {createLightweightAbortController} from '../abort-signal.js';
 import {defaultDialect, type RequestDialect} from '../request-dialect.js';
-import {createFixture, key, problemOf, send, sendRaw, type Fixture} from './support.js';
+import {createFixture, key, problemOf, send, sendRaw, waitUntil, type Fixture} from './support.js';
 
 const dialect: RequestDialect = {
 	...defaultDialect,
@@ -219,6 +219,53 @@
 		expect(response.status).toBe(502);
 	});
 
+	test.each([
+		['reads on later', ''],
+		['closes the connection', 'connection: close\r\n'],
+	])(
+		'a target that responds before the body is in and %s does not block the connection of the caller',
+		async (_what, closing) => {
+			const bodyBytes = 3_000_000;
+			// What has arrived of the later request; it may share its first bytes with the long body.
+			let tail = '';
+			let targetSocket: Socket | undefined;
+			behaviours = [
+				(socket, request) => {
+					tail = (tail + request).slice(-500);
+					if (tail.includes('GET /next')) {
+						tail = '';
+						socket.write(completeResponse.replace('whole', 'after'));
+					} else if (targetSocket === undefined) {
+						targetSocket = socket;
+						socket.write(completeResponse.replace('content', `${closing}content`));
+						socket.pause();
+						setTimeout(() => {
+							if (closing === '') {
+								socket.resume();
+							} else {
+								socket.destroy();
+							}
+						}, 100);
+					}
+				},
+			];
+			const caller = net.connect(fixture.listener.port, '127.0.0.1');
+			let text = '';
+			caller.setEncoding('latin1').on('data', chunk => {
+				text += String(chunk);
+			});
+			const headLines = `host: a\r\nx-request: r-1\r\nx-pass: ${key}\r\n`;
+			caller.write(`POST /long HTTP/1.1\r\n${headLines}content-length: ${bodyBytes}\r\n\r\n`);
+			caller.write('x'.repeat(bodyBytes));
+			caller.write(`GET /next HTTP/1.1\r\n${headLines}\r\n`);
+			await waitUntil(() => text.includes('after'));
+			expect(text.match(/HTTP\/1\.1 200/g)).toHaveLength(2);
+			const expectedBytes = closing === '' ? bodyBytes : 0;
+			await waitUntil(() => targetSocket!.bytesRead >= expectedBytes);
+			caller.destroy();
+		},
+	);
+
 	test('a request whose key is withdrawn while its target works gets its response, and the next one is refused', async () => {
 		behaviours = [
 			socket => {
--- a/packages/io-http/src/request-body.ts
+++ b/packages/io-http/src/request-body.ts
@@ -123,6 +123,11 @@
 				targetRequest.write(chunk);
 			}
 
+			function resume(): void {
+				listening.timer.touch();
+				source.resume();
+			}
+
 			const listening = listen(source, options, {
 				data(chunk) {
 					received += chunk.length;
@@ -131,6 +136,8 @@
 					} else if (!targetRequest.write(chunk)) {
 						source.pause();
 						listening.timer.suspend();
+						// Once the response is complete, the request itself emits no 'drain' any more.
+						targetRequest.socket?.once('drain', resume);
 					}
 				},
 				end() {
@@ -138,11 +145,12 @@
 				},
 				failure: onFailure,
 			});
-			targetRequest.on('drain', () => {
-				listening.timer.touch();
+			targetRequest.on('drain', resume);
+			targetRequest.once('close', () => {
+				listening.stop();
+				// The rest is discarded, so that the next request on the caller's connection is read.
 				source.resume();
 			});
-			targetRequest.once('close', listening.stop);
 		},
 	};
 }
