--- a/packages/policy-routing/src/__tests__/fleet-limits.test.ts
+++ b/packages/policy-routing/src/__tests__/fleet-limits.test.ts
@@ -45,10 +45,16 @@
 	readonly nearDelay?: number;
 	/** Whether the instances of two failure domains cannot reach those of the other two. */
 	readonly isPartitioned?: boolean;
+	/** Milliseconds at which the partition begins; by default it exists from the start. */
+	readonly partitionAt?: number;
+	/** Number of the four failure domains that the partition separates from the others; default 2. */
+	readonly partitionedDomains?: number;
 };
 
 const rate = {rate: 37, burst: 37};
 const domainCount = 4;
+/** Milliseconds of silence after which an instance counts as unreachable, as in the roster. */
+const reachableTimeout = 2600;
 /** Time for which a process is down before it is replaced. */
 const downtimeMs = 1000;
 /** Time until a new process knows the others and receives their reports. */
@@ -65,21 +71,34 @@
  */
 function simulate(scenario: Scenario) {
 	const random = createSeededRandom(3);
-	const partitionOf = (index: number) =>
-		scenario.isPartitioned === true ? Number(index % domainCount < 2) : 0;
-	const reachableRatio = scenario.isPartitioned === true ? 0.5 : 1;
+	const {partitionAt = Number.NEGATIVE_INFINITY, partitionedDomains = 2} = scenario;
 	const {restartAt = Number.POSITIVE_INFINITY} = scenario;
 	let clockNow = 0;
-	const createInstance = (startedAt: number) =>
+	const partitionOf = (index: number) =>
+		scenario.isPartitioned === true && clockNow >= partitionAt
+			? Number(index % domainCount < partitionedDomains)
+			: 0;
+	const reachableRatioOf = (index: number) => {
+		if (scenario.isPartitioned !== true || clockNow < partitionAt + reachableTimeout) {
+			return 1;
+		}
+
+		const separated = partitionedDomains / domainCount;
+		return index % domainCount < partitionedDomains ? separated : 1 - separated;
+	};
+
+	const createInstance = (startedAt: number, index: number) =>
 		createWorkspaceRateLimiter({
 			bound: rateBound,
 			startedAt,
-			reachableRatio: () => reachableRatio,
+			reachableRatio: () => reachableRatioOf(index),
 			fleetSize: () =>
-				clockNow < startedAt + discoveryTimeMs ? 1 : scenario.instances * reachableRatio,
+				clockNow < startedAt + discoveryTimeMs ? 1 : scenario.instances * reachableRatioOf(index),
 			random,
 		});
-	const instances = Array.from({length: scenario.instances}, () => createInstance(-window));
+	const instances = Array.from({length: scenario.instances}, (_, index) =>
+		createInstance(-window, index),
+	);
 	const isRestarted = (index: number) =>
 		index < scenario.instances * (scenario.restartFraction ?? 1);
 	const decisions: Array<{at: number; from: number; isAdmitted: boolean}> = [];
@@ -116,7 +135,7 @@
 		clockNow = now;
 		if (now === restartAt) {
 			for (const index of instances.keys()) {
-				instances[index] = isRestarted(index) ? createInstance(now) : instances[index]!;
+				instances[index] = isRestarted(index) ? createInstance(now, index) : instances[index]!;
 			}
 		}
 
@@ -178,6 +197,15 @@
 		expect(maxPerWindow).toBeLessThanOrEqual(maxAdmittedOf(rate));
 	});
 
+	test.each([1, 2])(
+		'a partition of %i of 4 domains during a flood does not let each part admit the whole rate',
+		partitionedDomains => {
+			const scenario = {instances: 36, sent: 8 * 37, isPartitioned: true, partitionAt: 15_000};
+			const {maxPerWindow} = simulate({...scenario, partitionedDomains, ...usualDelays});
+			expect(maxPerWindow).toBeLessThanOrEqual(maxAdmittedOf(rate));
+		},
+	);
+
 	test('a sudden flood, and a flood during a restart of all processes, stay below the bound', () => {
 		for (const sent of [60, 185, 400]) {
 			const suddenFlood = {instances: 36, sentBefore: 23, sent, ...usualDelays};
