Take no request later than 3 s after the signal to stop

With a stop limit of 10 s, as on large deployments, a stopping instance took every request for 3.5 s, and one that lasts until the limit was cut although it had come later than 3 s after the signal (LOST). With 6 s the period was 3 s already.

Evidence: the new test fails with 3.5 s (last taken at 3.5 s).

--- a/packages/gateway/src/__tests__/stop-callers.test.ts
+++ b/packages/gateway/src/__tests__/stop-callers.test.ts
@@ -7,8 +7,6 @@
 import {createManualClock} from '@shallotpond/testkit/manual-clock';
 import {stopCallers} from '../stop-callers.js';
 
-const stopLimit = 6000;
-
 /** Callers whose requests take `requestTime`; one arrives every 10 ms and is taken where possible. */
 function createCallers(requestTime: number, timeout: number) {
 	const clock = createManualClock();
@@ -59,7 +57,7 @@
 	return {clock, callers, state, receive};
 }
 
-async function run(requestTime: number, timeout: number) {
+async function run(requestTime: number, timeout: number, stopLimit = 6000) {
 	const {clock, callers, state, receive} = createCallers(requestTime, timeout);
 	const stopped = stopCallers({clock, callers, stopLimit});
 	for (let time = 0; time < stopLimit; time += 10) {
@@ -91,6 +89,13 @@
 	expect(state.cut).toBe(0);
 });
 
+test('a longer stop limit does not make the instance take long requests for longer', async () => {
+	const state = await run(1000, 15_000, 10_000);
+	expect(state.lastTakenAt).toBeGreaterThan(2900);
+	expect(state.lastTakenAt).toBeLessThanOrEqual(3000);
+	expect(state.cut).toBe(0);
+});
+
 test('a request that takes too long ends with the stop limit', async () => {
 	const state = await run(10_000, 10_000);
 	expect(state.cut).toBeGreaterThan(0);
--- a/packages/gateway/src/stop-callers.ts
+++ b/packages/gateway/src/stop-callers.ts
@@ -26,9 +26,10 @@
 /**
  * Time for which a stopping instance takes every request, or half of the stop limit if that is
  * shorter. The load balancer needs two failed health checks, one second apart, before it stops
- * sending callers to the instance.
+ * sending callers to the instance. A request that is taken later must not be cut at the limit, also
+ * if it takes long.
  */
-const acceptPeriodMs = 3500;
+const acceptPeriodMs = 3000;
 /** Time before the stop limit at which requests in progress are abandoned. */
 const stopReserveMs = 500;
 const stopCheckIntervalMs = 50;
