Log what the bound on cold targets was based on

A flooded cold target was reported, and no line told whether an instance took the target for cold, which fraction of the requests it let pass, or when the first byte was written. Attempts now have coldTargets, coldFor, coldFraction and serviceRate while a target of the service is cold, and writtenAfter; target-cold says that a target was marked as cold because of a failure. Decisions are unchanged.

--- a/packages/gateway/src/__tests__/routing-service.test.ts
+++ b/packages/gateway/src/__tests__/routing-service.test.ts
@@ -7,7 +7,7 @@
 import {beforeEach, describe, expect, test} from '@jest/globals';
 import {documentSchema} from '@shallotpond/configuration/document-schema';
 import {createSeededRandom} from '@shallotpond/kernel/random';
-import {noopEventLog} from '@shallotpond/observability/event-log';
+import {type EventFields, type EventName} from '@shallotpond/observability/event-log';
 import {
 	createTargetDirectory,
 	type TargetDirectory,
@@ -32,14 +32,20 @@
 	let clock: ManualClock;
 	let directory: TargetDirectory;
 	let routing: RoutingService;
+	let events: Array<[EventName, EventFields | undefined]>;
 
 	beforeEach(() => {
+		events = [];
 		clock = createManualClock({start: 1000});
 		directory = createTargetDirectory();
 		routing = createRoutingService({
 			clock,
 			random: createSeededRandom(11),
-			log: noopEventLog,
+			log: {
+				write(event, fields) {
+					events.push([event, fields]);
+				},
+			},
 			failureDomain: 'north',
 			configuration: createFixedConfiguration(document),
 			directory,
@@ -110,6 +116,19 @@
 		expect(directory.find('a')?.coldUntil).toBe(clock.monotonic() + 3000);
 	});
 
+	test('the log tells which target was taken for cold, and on which rate its limit was based', () => {
+		addTarget('a');
+		(acquire() as SlotGrant).release({result: 'connection-broken', latency: 10, slotTime: 10});
+		const cold = {target: 'a@1', reason: 'connection-broken', for: 3000};
+		expect(events).toContainEqual(['target-cold', cold]);
+
+		addTarget('b');
+		clock.advance(1000);
+		const {basis} = acquire() as SlotGrant;
+		expect(basis).toMatchObject({coldTargets: 1, coldFraction: 0.35, serviceRate: 2});
+		expect([0, 2000]).toContain(basis?.coldFor);
+	});
+
 	test('slow requests at a healthy target are not abandoned and do not shorten the next timeout', () => {
 		addTarget('a');
 		for (let index = 0; index < 20; index++) {
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -390,7 +390,12 @@
 		if (result === 'connection-failed' || result === 'connection-broken') {
 			// The target may have restarted; its entry shows a restart only after its next check-in with
 			// the platform.
-			directory.markCold(target.definition.id, configuration.coldTimeOf(target.service), now);
+			const coldTime = configuration.coldTimeOf(target.service);
+			if (target.coldUntil <= now) {
+				log.write('target-cold', {target: target.incarnation, reason: result, for: coldTime});
+			}
+
+			directory.markCold(target.definition.id, coldTime, now);
 		}
 
 		if (outcomeClass === 'path') {
@@ -470,10 +475,27 @@
 		}
 	}
 
+	/** What the bound on cold targets was based on, for logs; empty while no candidate is cold. */
+	function describeColdBound(
+		target: KnownTarget,
+		candidates: readonly KnownTarget[],
+		now: number,
+	): Record<string, number> {
+		const coldTargets = candidates.filter(({coldUntil}) => coldUntil > now).length;
+		return coldTargets === 0
+			? {}
+			: {
+					coldTargets,
+					coldFor: Math.max(0, Math.round(target.coldUntil - now)),
+					coldFraction: roundForLog(maxColdFraction(target.service, now)),
+					serviceRate: Math.round(observedRate(target.service, now)),
+				};
+	}
+
 	function grant(
 		target: KnownTarget,
 		request: SlotRequest,
-		candidates: number,
+		candidates: readonly KnownTarget[],
 		now: number,
 	): SlotGrant {
 		const {failureRisk} = evidence.conditionOf(target.incarnation, target.service, now);
@@ -487,11 +509,12 @@
 			keepsConnection: true,
 			// The values that led to the selection, for logs and traces; times are in milliseconds.
 			basis: {
-				candidates,
+				candidates: candidates.length,
 				risk: roundForLog(failureRisk),
 				load: loadAt(target, now),
 				unusedFor: Math.round(unusedFor),
 				listedFor: Math.round(now - target.listedAt),
+				...describeColdBound(target, candidates, now),
 			},
 			silenceTimeout: silenceTimeoutOf(failureRisk, request, now),
 			maxIdleTime: connectionReuse.maxIdleTime(request.service, now),
@@ -526,7 +549,7 @@
 			});
 			return target === undefined
 				? refuse(request.service, 'no-target-left')
-				: grant(target, request, candidates.length, now);
+				: grant(target, request, candidates, now);
 		},
 		isUsable(target) {
 			const known = directory.find(target.id);
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -577,6 +577,7 @@
 		const timeLeft = Math.max(1, progress.deadline - dispatchedAt);
 		const attemptSpan = request.span.startHop('attempt', {target: grant.target.id, ...grant.basis});
 		progress.attempts++;
+		let writtenAt: number | undefined;
 		const attempt = await startAttempt({
 			clock,
 			connections,
@@ -600,14 +601,20 @@
 			softTimeout: grant.silenceTimeout ?? timeLeft * limits.attemptTimeRatio,
 			hardTimeout: timeLeft,
 			mayGiveUp: () => mayGiveUp(request, progress),
-			mayWrite: () => recheck(request, grant) === 'ok' && isClaimUsable(request),
+			mayWrite() {
+				const mayWrite = recheck(request, grant) === 'ok' && isClaimUsable(request);
+				writtenAt = mayWrite ? clock.monotonic() : undefined;
+				return mayWrite;
+			},
 			signals: [request.cancellation.signal, grant.signal],
 		});
 
+		const basis: Readonly<Record<string, number>> =
+			writtenAt === undefined ? {} : {writtenAfter: Math.round(writtenAt - dispatchedAt)};
 		if (attempt.kind === 'failed') {
 			const {idleBefore} = attempt;
 			release(progress, grant, {dispatchedAt, idleBefore}, attempt.result);
-			attemptSpan.end(attempt.result);
+			attemptSpan.end(attempt.result, basis);
 			if (attempt.result === 'connection-broken') {
 				progress.crashes++;
 				await permit.reportCrash(grant.target.id);
@@ -631,7 +638,7 @@
 		if (refused !== undefined) {
 			attempt.destroy();
 			release(progress, grant, times, refused.result);
-			attemptSpan.end(refused.result);
+			attemptSpan.end(refused.result, basis);
 			return refused.setback;
 		}
 
@@ -639,12 +646,12 @@
 		if (serverErrorSetback !== undefined) {
 			drainResponse({clock, targetResponse, destroy: attempt.destroy});
 			release(progress, grant, times, 'error');
-			attemptSpan.end('error');
+			attemptSpan.end('error', basis);
 			return serverErrorSetback;
 		}
 
 		const result = await deliver(request, progress, {grant, times, attempt});
-		attemptSpan.end(result.kind === 'setback' ? result.code : result.kind);
+		attemptSpan.end(result.kind === 'setback' ? result.code : result.kind, basis);
 		return result;
 	}
 
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -21,6 +21,7 @@
 	| 'target-held-off'
 	| 'target-unlisted'
 	| 'target-misdirected'
+	| 'target-cold'
 	| 'target-suspected'
 	| 'target-trusted'
 	| 'service-narrowed'
--- a/packages/shallotctl/src/request-explanation.ts
+++ b/packages/shallotctl/src/request-explanation.ts
@@ -43,6 +43,7 @@
 	'target-misdirected',
 	'target-suspected',
 	'target-trusted',
+	'target-cold',
 	'path-avoided',
 ]);
 /** Log messages that report a state change of the whole instance. */
