Reproduce the flooded cold target on the fleet model

Each let one request in 12 to 20 pass, on the belief of 68 to 107 requests a second, while targets of the service were chosen 204 to 480 times a second: choices that end as misdirected or without a connection are in no report, and the rate is an average over 5 s.

The model now retries requests that have not run, has a rate that changes, and cuts between instances.

--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -34,8 +34,15 @@
 	readonly instanceDomains?: readonly string[];
 	readonly instancesPerDomain: number;
 	readonly targets: readonly ModelTarget[];
-	/** Requests per second of the whole fleet, evenly spread over its instances. */
-	readonly rate: number;
+	/**
+	 * Requests per second of the whole fleet, evenly spread over its instances; constant, or by
+	 * simulated time in milliseconds.
+	 */
+	readonly rate: number | ((now: number) => number);
+	/** Maximum attempts of a request whose attempt did not run it; default: 1. */
+	readonly maxAttempts?: number;
+	/** Whether no message arrives between two instances; default: all arrive. */
+	readonly isCut?: (from: string, to: string, now: number) => boolean;
 	readonly isIdempotent: boolean;
 	readonly isDownload?: boolean;
 	/** Length of the simulation in simulated milliseconds. */
@@ -54,6 +61,8 @@
 };
 
 export type FleetModelResult = {
+	/** Number of requests of callers. */
+	readonly requests: number;
 	readonly attempts: readonly Attempt[];
 	readonly samples: readonly TargetsInUseSample[];
 };
@@ -98,6 +107,13 @@
 	});
 }
 
+/** Results after which the request has not run, so that it may be sent to another target. */
+const notRunResults: ReadonlySet<AttemptResult> = new Set([
+	'connection-failed',
+	'misdirected',
+	'shed',
+]);
+
 /** Runs the simulation; the result is deterministic for a seed. */
 export function simulateFleet(options: FleetModelOptions): FleetModelResult {
 	const {failureDomains, targets} = options;
@@ -180,18 +196,25 @@
 	);
 	const byAddress = new Map(instances.map(instance => [instance.address, instance]));
 
-	function send(outgoing: ReadonlyArray<{readonly to: string; readonly message: FleetMessage}>) {
+	function send(
+		from: string,
+		outgoing: ReadonlyArray<{readonly to: string; readonly message: FleetMessage}>,
+	) {
 		for (const {to, message} of outgoing) {
+			if (options.isCut?.(from, to, clock.monotonic()) === true) {
+				continue;
+			}
+
 			pendingEvents.push({
 				at: clock.monotonic() + step,
 				run() {
-					send(byAddress.get(to)!.member.receive(message, clock.monotonic()));
+					send(to, byAddress.get(to)!.member.receive(message, clock.monotonic()));
 				},
 			});
 		}
 	}
 
-	function request(instance: ModelInstance): void {
+	function request(instance: ModelInstance, triedTargets: readonly string[] = []): void {
 		const now = clock.monotonic();
 		const grant = instance.routing.acquire({
 			workspace: 'w',
@@ -200,7 +223,7 @@
 			service,
 			route: document.routes[0]!,
 			isIdempotent: options.isIdempotent,
-			excludedTargets: [],
+			excludedTargets: triedTargets,
 			avoidedFailureDomains: [],
 		});
 		if (grant.kind === 'refused') {
@@ -215,6 +238,10 @@
 			at: now + latency,
 			run() {
 				grant.release({result, latency, slotTime: latency});
+				const tried = [...triedTargets, target.id];
+				if (notRunResults.has(result) && tried.length < (options.maxAttempts ?? 1)) {
+					request(instance, tried);
+				}
 			},
 		});
 	}
@@ -237,6 +264,9 @@
 		}
 	}
 
+	const rateAt = (now: number) =>
+		typeof options.rate === 'number' ? options.rate : options.rate(now);
+	let requests = 0;
 	let nextRequestAt = 0;
 	for (let now = 0; now < options.duration; now += step) {
 		clock.advance(step);
@@ -250,13 +280,14 @@
 			}
 		}
 
-		for (; nextRequestAt <= now; nextRequestAt -= (Math.log(1 - random()) / options.rate) * 1000) {
+		for (; nextRequestAt <= now; nextRequestAt -= (Math.log(1 - random()) / rateAt(now)) * 1000) {
+			requests++;
 			request(instances[Math.floor(random() * instances.length)]!);
 		}
 
-		for (const [index, {member, routing}] of instances.entries()) {
+		for (const [index, {address, member, routing}] of instances.entries()) {
 			if ((now + index * step) % tickInterval === 0) {
-				send(member.tick(clock.monotonic()));
+				send(address, member.tick(clock.monotonic()));
 			}
 
 			if (now % maintenanceInterval === 0) {
@@ -270,5 +301,5 @@
 		}
 	}
 
-	return {attempts, samples};
+	return {requests, attempts, samples};
 }
