Take a target for cold after an outage that the fleet noticed

What callers see: a target that returns cold from an outage gets its ordinary share, and more, because it has no load, until its entry shows the restart.

Cause: only the instances that failed to connect took the target for cold, and for a time counted from their last failure, not from the return.

Change: reports carry the number of failures to connect. A target is out of reach if three instances could not connect since its last response, and it has not responded for 0.5 s. It then counts as cold at every instance, and again from its first response on. Failures on reused idle connections and failures after the first byte do not count, because targets that forget connections or lose responses are not cold.

A model with four of 36 instances that often cannot connect marks no target.

--- a/packages/gateway/src/__tests__/cold-targets.test.ts
+++ b/packages/gateway/src/__tests__/cold-targets.test.ts
@@ -132,6 +132,58 @@
 		expect(worstSecond(attempts, () => true)).toBeLessThanOrEqual(maxPerSecond);
 	});
 
+	test.each(seeds)(
+		'are not flooded after an outage that their entries do not show (seed %i)',
+		seed => {
+			const outage = {from: 3000, until: 5000};
+			const isOut = (index: number, now: number) =>
+				index % 4 === 0 && now >= outage.from && now < outage.until;
+			const targets = createTargets({
+				count: 12,
+				create: index => ({
+					respond: now =>
+						isOut(index, now)
+							? {result: 'connection-failed', latency: 1}
+							: {result: 'ok', latency: 150},
+				}),
+			});
+			const {attempts} = simulate({targets, rate: 300, maxAttempts: 3, seed});
+			const hasReturned = (target: string, at: number) =>
+				isOut(Number(target.slice('target-'.length)), outage.from) &&
+				at >= outage.until &&
+				at < outage.until + 3000;
+			expect(worstSecond(attempts, hasReturned)).toBeLessThanOrEqual(maxPerSecond);
+		},
+	);
+
+	test('a target that some instances cannot reach is not taken for cold by the whole fleet', () => {
+		const reasons: unknown[] = [];
+		const targets = createTargets({
+			count: 8,
+			create: () => ({
+				respond: (now, from) =>
+					from.endsWith('-0') && now % 700 < 300
+						? {result: 'connection-failed', latency: 300}
+						: {result: 'ok', latency: 150},
+			}),
+		});
+		simulate({
+			targets,
+			instancesPerDomain: 9,
+			rate: 60,
+			maxAttempts: 3,
+			log: {
+				write(event, fields) {
+					if (event === 'target-cold') {
+						reasons.push(fields?.reason);
+					}
+				},
+			},
+		});
+		expect(reasons).not.toContain('out-of-reach');
+		expect(reasons).toContain('connection-failed');
+	});
+
 	test.each(seeds)('serve what they bear while no other target is left (seed %i)', seed => {
 		const targets = createTargets({count: 8, create: () => ({listedAt: 5000, coldFor: 5000})});
 		const {attempts} = simulate({targets, instancesPerDomain: 9, rate: 16, seed});
--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -22,8 +22,14 @@
 	readonly listedAt?: number;
 	/** Milliseconds for which the target is cold after it was listed. */
 	readonly coldFor?: number;
-	/** Result of an attempt that starts at `now`, and its latency in milliseconds. */
-	readonly respond: (now: number) => {readonly result: AttemptResult; readonly latency: number};
+	/**
+	 * Result of an attempt of the instance `from` that starts at `now`, and its latency in
+	 * milliseconds.
+	 */
+	readonly respond: (
+		now: number,
+		from: string,
+	) => {readonly result: AttemptResult; readonly latency: number};
 	/** Whether the target has been healthy long enough to count for the floor. */
 	readonly isHealthy: (now: number) => boolean;
 };
@@ -234,7 +240,7 @@
 		}
 
 		const target = targets.find(({id}) => id === grant.target.id)!;
-		const {result, latency} = target.respond(now);
+		const {result, latency} = target.respond(now, instance.address);
 		lastAttemptAt.set(target.id, now);
 		attempts.push({target: target.id, at: now, result});
 		pendingEvents.push({
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -39,7 +39,8 @@
 	type KnownTarget,
 	type TargetDirectory,
 } from '@shallotpond/policy-routing/target-directory';
-import {type TargetEvidence} from '@shallotpond/policy-routing/target-evidence';
+import {type OutcomeCounts, type TargetEvidence} from '@shallotpond/policy-routing/target-evidence';
+import {createTargetOutages} from '@shallotpond/policy-routing/target-outages';
 import {createTargetNotices} from '@shallotpond/policy-routing/target-notices';
 import {drawRetryAfter} from '@shallotpond/policy-routing/retry-after';
 import {createTargetIdleTimes} from '@shallotpond/policy-routing/target-idle-times';
@@ -63,7 +64,7 @@
 	 * Adds outcomes that other instances reported. Ignores outcomes at targets that are not listed,
 	 * and at other starts of a target than the listed one.
 	 */
-	merge(reports: readonly TargetReport[], now: number): void;
+	merge(reports: readonly TargetReport[], from: Member, now: number): void;
 	/**
 	 * Records the current requests of a member of this failure domain at targets; replaces its
 	 * previous report.
@@ -151,6 +152,9 @@
 const minRequestsPerTarget = 2;
 const inUseSeconds = inUseWindowMs / millisecondsPerSecond;
 const hundredths = 100;
+const noOutcomes: OutcomeCounts = {good: 0, bad: 0, busy: 0, latency: 0};
+/** Names this instance among those that failed to connect to a target. */
+const self = '';
 
 /** Rounds to the two decimal places that are useful in the log. */
 function roundForLog(value: number): number {
@@ -172,6 +176,9 @@
 	const connectionReuse = createConnectionReusePolicy();
 	/** Number of stale connections since the last report, by incarnation. */
 	const staleConnections = new Map<string, number>();
+	/** Number of failures to connect since the last report, by incarnation. */
+	const unreachedTargets = new Map<string, number>();
+	const outages = createTargetOutages();
 	/** Requests of the whole fleet within `rateWindowMs`, by service. */
 	const requestCounters = new Map<string, SlidingWindowCounter>();
 	/** Incarnations that have been logged as suspected and not yet as trusted again. */
@@ -383,6 +390,26 @@
 		return connectionReuse.isReuseLimited(target.service, now) ? 'cancelled' : result;
 	}
 
+	/**
+	 * Marks a target that may have restarted as cold. Its entry shows a restart only after its next
+	 * check-in with the platform.
+	 */
+	function markCold(target: KnownTarget, reason: string, now: number): void {
+		const coldTime = configuration.coldTimeOf(target.service);
+		if (target.coldUntil <= now) {
+			log.write('target-cold', {target: target.incarnation, reason, for: coldTime});
+		}
+
+		directory.markCold(target.definition.id, coldTime, now);
+	}
+
+	/** A target may be cold from its return, which can be long after the last failure. */
+	function recordResponse(target: KnownTarget, now: number): void {
+		if (outages.recordResponse(target.incarnation, now)) {
+			markCold(target, 'out-of-reach', now);
+		}
+	}
+
 	function recordOutcome(target: KnownTarget, request: SlotRequest, outcome: AttemptOutcome): void {
 		const now = clock.monotonic();
 		const {latency} = outcome;
@@ -408,14 +435,15 @@
 		}
 
 		if (result === 'connection-failed' || result === 'connection-broken') {
-			// The target may have restarted; its entry shows a restart only after its next check-in with
-			// the platform.
-			const coldTime = configuration.coldTimeOf(target.service);
-			if (target.coldUntil <= now) {
-				log.write('target-cold', {target: target.incarnation, reason: result, for: coldTime});
-			}
+			markCold(target, result, now);
+		}
 
-			directory.markCold(target.definition.id, coldTime, now);
+		if (result === 'connection-failed') {
+			const {incarnation} = target;
+			unreachedTargets.set(incarnation, (unreachedTargets.get(incarnation) ?? 0) + 1);
+			outages.recordFailure(incarnation, self, now);
+		} else if (outcomeClass === 'good' || outcomeClass === 'busy') {
+			recordResponse(target, now);
 		}
 
 		if (outcomeClass === 'path') {
@@ -583,8 +611,8 @@
 				notices.isOpen(known.incarnation, clock.monotonic())
 			);
 		},
-		merge(reports, now) {
-			for (const {incarnation, stale, ...counts} of reports) {
+		merge(reports, from, now) {
+			for (const {incarnation, stale, unreached, ...counts} of reports) {
 				const target = directory.find(targetIdOf(incarnation));
 				if (target?.incarnation !== incarnation) {
 					continue;
@@ -594,10 +622,22 @@
 					recordStaleConnection(target, now);
 				}
 
+				if (unreached > 0 && outages.recordFailure(incarnation, from.address, now)) {
+					markCold(target, 'out-of-reach', now);
+				}
+
+				const outcomes = counts.good + counts.bad + counts.busy;
+				if (outcomes + stale === 0) {
+					continue;
+				}
+
 				idleTimes.recordUse(incarnation, now);
 				evidence.merge(incarnation, target.service, counts, now);
-				countRequests(target.service, counts.good + counts.bad + counts.busy, now);
+				countRequests(target.service, outcomes, now);
 				logSuspicionChange(target, now);
+				if (counts.good + counts.busy > 0) {
+					recordResponse(target, now);
+				}
 			}
 		},
 		recordLoad(from, loads, now) {
@@ -610,26 +650,28 @@
 		recentlyLeaving: notices.recentlyLeaving,
 		inFlight: () => [...inFlight],
 		takeTargetReports() {
-			const reports = new Map<string, TargetReport>();
-			for (const [incarnation, {counts}] of evidence.takeOutcomeCounts()) {
-				const stale = staleConnections.get(incarnation) ?? 0;
-				reports.set(incarnation, {incarnation, stale, ...counts});
-			}
-
-			for (const [incarnation, stale] of staleConnections) {
-				if (!reports.has(incarnation)) {
-					reports.set(incarnation, {incarnation, stale, good: 0, bad: 0, busy: 0, latency: 0});
-				}
-			}
-
+			const outcomes = evidence.takeOutcomeCounts();
+			const incarnations = new Set([
+				...outcomes.keys(),
+				...staleConnections.keys(),
+				...unreachedTargets.keys(),
+			]);
+			const reports = [...incarnations].map(incarnation => ({
+				incarnation,
+				stale: staleConnections.get(incarnation) ?? 0,
+				unreached: unreachedTargets.get(incarnation) ?? 0,
+				...(outcomes.get(incarnation)?.counts ?? noOutcomes),
+			}));
 			staleConnections.clear();
-			return [...reports.values()];
+			unreachedTargets.clear();
+			return reports;
 		},
 		prune(now) {
 			evidence.prune(now);
 			idleTimes.prune(now);
 			notices.prune(now);
 			coldPermits.prune(now);
+			outages.prune(now);
 			forgetUnidentifiedTargets(now);
 			for (const incarnation of suspectedTargets) {
 				if (directory.find(targetIdOf(incarnation))?.incarnation !== incarnation) {
--- a/packages/io-fleet/src/__tests__/fleet-codec.test.ts
+++ b/packages/io-fleet/src/__tests__/fleet-codec.test.ts
@@ -31,7 +31,9 @@
 		from,
 		isRelayed: true,
 		configuration: {version: 12, revision: 340, confirmedAgo: 250},
-		targets: [{incarnation: 'i-1@5', good: 3, bad: 1, busy: 2, stale: 1, latency: 640}],
+		targets: [
+			{incarnation: 'i-1@5', good: 3, bad: 1, busy: 2, stale: 1, unreached: 4, latency: 640},
+		],
 		inFlight: [['i-1@5', 2]],
 		workspaces: [{workspace: 'reed', asked: 21, admitted: 17, before: {asked: 18, admitted: 15}}],
 		crashes: [{fingerprint: 'a1b2', target: 'i-1'}],
--- a/packages/io-fleet/src/fleet-codec.ts
+++ b/packages/io-fleet/src/fleet-codec.ts
@@ -75,7 +75,8 @@
 }
 
 function toTargetReport(value: unknown): TargetReport {
-	const [incarnation, good, bad, busy, stale, latency] = toFields(value);
+	// Instances of an earlier version do not send `unreached`.
+	const [incarnation, good, bad, busy, stale, latency, unreached = 0] = toFields(value);
 	return {
 		incarnation: toText(incarnation),
 		good: toCount(good),
@@ -83,6 +84,7 @@
 		busy: toCount(busy),
 		stale: toCount(stale),
 		latency: toCount(latency),
+		unreached: toCount(unreached),
 	};
 }
 
@@ -121,7 +123,7 @@
 	number,
 	number,
 	number | undefined,
-	Array<[string, number, number, number, number, number]>,
+	Array<[string, number, number, number, number, number, number]>,
 	Array<[string, number, number, number, number]>,
 	boolean,
 	Array<[string, number]>,
@@ -143,6 +145,7 @@
 			target.busy,
 			target.stale,
 			Math.round(target.latency),
+			target.unreached,
 		]),
 		report.workspaces.map(({workspace, asked, admitted, before}) => [
 			workspace,
--- a/packages/policy-fleet/src/__tests__/fleet-member.test.ts
+++ b/packages/policy-fleet/src/__tests__/fleet-member.test.ts
@@ -141,7 +141,15 @@
 	};
 }
 
-const failure: TargetReport = {incarnation: 't@1', good: 0, bad: 1, busy: 0, stale: 0, latency: 0};
+const failure: TargetReport = {
+	incarnation: 't@1',
+	good: 0,
+	bad: 1,
+	busy: 0,
+	stale: 0,
+	unreached: 0,
+	latency: 0,
+};
 
 describe('members of a fleet', () => {
 	test('all members discover each other within 3 s, even if two of three seeds are gone', () => {
--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -34,7 +34,7 @@
 	 */
 	readonly takeContent: () => ReportContent;
 	/** Called with the outcomes in a report. */
-	readonly onTargets: (reports: readonly TargetReport[], now: number) => void;
+	readonly onTargets: (reports: readonly TargetReport[], from: Member, now: number) => void;
 	/** Called with the requests that another member of this failure domain has in flight. */
 	readonly onLoad: (from: Member, inFlight: readonly TargetLoad[], now: number) => void;
 	/**
@@ -141,7 +141,7 @@
 		}
 
 		options.onConfiguration(report.configuration, report.from, now);
-		options.onTargets(report.targets, now);
+		options.onTargets(report.targets, report.from, now);
 		if (report.from.failureDomain === self.failureDomain) {
 			options.onLoad(report.from, report.inFlight, now);
 		}
--- a/packages/policy-fleet/src/fleet-message.ts
+++ b/packages/policy-fleet/src/fleet-message.ts
@@ -28,6 +28,8 @@
 	readonly busy: number;
 	/** Idle connections that were reset as soon as they were reused. */
 	readonly stale: number;
+	/** Attempts for which no connection could be established. */
+	readonly unreached: number;
 	/** Sum of the latencies of the good outcomes, in milliseconds. */
 	readonly latency: number;
 };
--- a/packages/policy-fleet/src/report-schedule.ts
+++ b/packages/policy-fleet/src/report-schedule.ts
@@ -143,6 +143,7 @@
 		bad: known.bad + report.bad,
 		busy: known.busy + report.busy,
 		stale: known.stale + report.stale,
+		unreached: known.unreached + report.unreached,
 		latency: known.latency + report.latency,
 	});
 }
