Assume a larger fleet while a process may not know all members

A fleet can have more instances than targets (48 and 43 in one of the deployments), so the number of targets alone is too low an assumption for the share of a new process in the rate of a cold target.

--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -117,6 +117,8 @@
 const rateWindowMs = 5000;
 /** Milliseconds after the start in which a process may not know all members of the fleet. */
 const discoveryTimeMs = 5000;
+/** Assumed by a process that may not know all members of the fleet. */
+const maxInstancesPerTarget = 2;
 /** How long the connection of a served request is expected to stay open. */
 const connectionTtlMs = 7500;
 const millisecondsPerSecond = 1000;
@@ -218,12 +220,12 @@
 	}
 
 	/**
-	 * Number of instances that may be serving. A new process may not know all members yet; a fleet
-	 * has fewer instances than targets.
+	 * Number of instances that may be serving. A new process may not know all members yet, so it
+	 * assumes a large fleet for the number of targets.
 	 */
 	function fleetSize(now: number): number {
 		const isNew = now - startedAt < discoveryTimeMs;
-		return Math.max(options.fleetSize(), isNew ? directory.size : 1);
+		return Math.max(options.fleetSize(), isNew ? directory.size * maxInstancesPerTarget : 1);
 	}
 
 	function targetPosition({service, incarnation}: KnownTarget, now: number): number {
