Count a response that the parser refuses as incomplete, not as a crash

Seen: on Node.js 20.20.2 (llhttp 9.3.1, x86-64) an idempotent request to a target that answers with the header line `X : a` is recorded as connection-broken, so the request is reported as one that crashes targets, the target is taken for restarted, and two such targets end the request. Its caller got the other target's response all the same.

Cause: the attempt takes every error before the head for a broken connection. llhttp 9.3.1 refuses such a line itself (HPE_INVALID_HEADER_TOKEN, an error of the request, no response event); that of Node.js 20.19.0, on which the tests were written, passed it on to checkHeaderSyntax, which makes it incomplete. Malformed status lines, two lengths and other protocols were connection-broken with both.

The version of the parser differs; that the processor has no part in it was not shown, for want of both versions on one machine.

Change: HPE_ errors before the head make the attempt incomplete. Problem codes of callers stay, except that a malformed header line gets incomplete-answer, as from checkHeaderSyntax.

The response has not begun when the parser refuses it: head, body and trailer arrive in one read, nothing is passed on, and the caller gets a problem (502, incomplete-answer, may-have-run; recorded as incomplete), not a part of the response.

--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -203,10 +203,14 @@
 /** Sends one request on a new connection. Never rejects. */
 export async function send(
 	fixture: Fixture,
-	options: http.RequestOptions & {readonly body?: string} = {},
+	options: http.RequestOptions & {
+		readonly body?: string;
+		/** Called with each piece of the body of the response. */
+		readonly onData?: (text: string) => void;
+	} = {},
 ): Promise<TestResponse> {
 	return new Promise(resolve => {
-		const {body, headers, ...rest} = options;
+		const {body, headers, onData, ...rest} = options;
 		const request = http.request({
 			host: '127.0.0.1',
 			port: fixture.listener.port,
@@ -224,7 +228,10 @@
 				resolve({status, headers: response.headers, body: String(Buffer.concat(chunks)), error});
 			};
 
-			response.on('data', (chunk: Uint8Array) => void chunks.push(chunk));
+			response.on('data', (chunk: Uint8Array) => {
+				chunks.push(chunk);
+				onData?.(String(chunk));
+			});
 			response.on('end', () => {
 				finish();
 			});
--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -61,8 +61,13 @@
 	readonly idleBefore?: number;
 	/** Set if the caller's request body ended the attempt: it was too large or did not arrive. */
 	readonly bodyFailure?: BodyFailure;
+	/** Set if the parser refused the bytes of the target. */
+	readonly parserFailure?: ParserFailure;
 };
 
+/** What the parser refused: the syntax of a header line, or anything else. */
+export type ParserFailure = 'header' | 'other';
+
 export type AttemptResponse = {
 	readonly kind: 'answered';
 	readonly targetResponse: IncomingMessage;
@@ -77,6 +82,20 @@
 	destroy(): void;
 };
 
+const parserErrorPrefix = 'HPE_';
+const headerErrorCode = 'HPE_INVALID_HEADER_TOKEN';
+/** A message that ends early is a broken connection, not a malformed response. */
+const earlyEndCode = 'HPE_INVALID_EOF_STATE';
+
+/** Undefined for other errors, such as a reset or an early end of the connection. */
+function parserFailureOf({code = ''}: NodeJS.ErrnoException): ParserFailure | undefined {
+	if (!code.startsWith(parserErrorPrefix) || code === earlyEndCode) {
+		return undefined;
+	}
+
+	return code === headerErrorCode ? 'header' : 'other';
+}
+
 /** Calls back when the connection is established, including the TLS handshake. */
 function watchConnection(
 	request: http.ClientRequest,
@@ -162,8 +181,11 @@
 			resolve(result);
 		}
 
-		function fail(result: AttemptResult, bodyFailure?: BodyFailure): void {
-			settle({kind: 'failed', result, wasWritten, idleBefore, bodyFailure});
+		function fail(
+			result: AttemptResult,
+			cause: Pick<AttemptFailure, 'bodyFailure' | 'parserFailure'> = {},
+		): void {
+			settle({kind: 'failed', result, wasWritten, idleBefore, ...cause});
 			request.destroy();
 		}
 
@@ -193,7 +215,7 @@
 			if (options.mayWrite()) {
 				wasWritten = true;
 				body.sendTo(request, bodyFailure => {
-					fail('cancelled', bodyFailure);
+					fail('cancelled', {bodyFailure});
 				});
 			} else {
 				fail('cancelled');
@@ -205,7 +227,15 @@
 			idleBefore = request.reusedSocket ? connections.idleBefore(socket) : undefined;
 			watchConnection(request, socket, service.tls, send);
 		});
-		request.on('error', failBroken);
+		request.on('error', error => {
+			const parserFailure = parserFailureOf(error);
+			if (parserFailure !== undefined && wasWritten && response === undefined) {
+				// The target has responded, so the request did not crash it.
+				fail('incomplete', {parserFailure});
+			} else {
+				failBroken();
+			}
+		});
 		request.on('close', failBroken);
 		request.on('information', ({rawHeaders}) => {
 			interimResponses++;
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -173,6 +173,12 @@
 		return {kind: 'setback', code, runState, isFinal: true};
 	}
 
+	if (failure.parserFailure === 'other') {
+		// The code that callers have always got for bytes that are no response, such as a bad status
+		// line. A malformed header line gets that of `checkHeaderSyntax`, whichever of both finds it.
+		return {kind: 'setback', code: 'connection-broken', runState};
+	}
+
 	return {kind: 'setback', code: failureCodes[failure.result] ?? 'cancelled', runState};
 }
 
