Hold the rates of workspaces while the fleet is partitioned

Each instance estimated the fleet's demand and admissions from the reports of the last half second, so members that were cut off seemed to have no requests, and each part admitted the whole rate until the partition was noticed after 2.6 s.

The rates of each member are now kept until its next report and charged as if it went on; the report replaces the assumption. A member is lost after 2.5 of its own mean report intervals (1.25 to 2.6 s), a failure domain after 1.5 of them (0.7 s at least). The bucket then gets the tokens that it would have if the part of the lost members had been given up at their last report, and what they admit meanwhile is not charged when they return. The reachable part is determined at most every 50 ms instead of at each request.

Tests: the two red tests of fleet-limits pass (354 and 362 admitted before, 297.5 allowed). The simulation there now also delivers reports without requests every 250 and 500 ms, as instances send them; its delays, loads and bounds are unchanged. gateway: fleet-rates simulates six partitions with real rosters and reports.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -164,7 +164,8 @@
 		bound: options.rateBound,
 		startedAt: clock.monotonic(),
 		reachableRatio: () => fleet.roster.reachableRatio(clock.monotonic()),
-		fleetSize: () => fleet.roster.activeCount(clock.monotonic()),
+		isReachable: member => fleet.roster.isReachable(member, clock.monotonic()),
+		fleetSize: () => fleet.roster.reachableCount(clock.monotonic()),
 		random,
 	});
 	const crashes = createCrashHistory();
@@ -200,8 +201,8 @@
 		}),
 		onTargets: routing.merge,
 		onLoad: routing.recordLoad,
-		onUsage({workspace, ...usage}, now) {
-			rateLimiter.recordUsage(workspace, usage, now);
+		onUsage({address}, usages, now) {
+			rateLimiter.recordReport(address, usages, now);
 		},
 		onCrashes: crashes.merge,
 		onClearedRequests: crashes.mergeCleared,
--- a/packages/policy-routing/src/sliding-window-counter.ts
+++ b/packages/policy-routing/src/sliding-window-counter.ts
@@ -4,8 +4,11 @@
  */
 export type SlidingWindowCounter = {
 	add(amount: number, now: number): void;
-	/** Events of the last `window` milliseconds, or of up to one step more. */
-	total(now: number): number;
+	/**
+	 * Events of the last `span` milliseconds, or of up to one step more; by default, and at most, of
+	 * the whole window.
+	 */
+	total(now: number, span?: number): number;
 };
 
 export type SlidingWindowCounterOptions = {
@@ -45,9 +48,15 @@
 			advance(now);
 			counts[newestStep % counts.length]! += amount;
 		},
-		total(now) {
+		total(now, span = window) {
 			advance(now);
-			return counts.reduce((sum, count) => sum + count, 0);
+			const lastSteps = Math.min(counts.length, Math.ceil(span / stepLength) + 1);
+			let sum = 0;
+			for (let index = 0; index < lastSteps; index++) {
+				sum += counts[(newestStep + counts.length - index) % counts.length]!;
+			}
+
+			return sum;
 		},
 	};
 }
