--- a/packages/io-http/src/__tests__/malformed-responses.test.ts
+++ b/packages/io-http/src/__tests__/malformed-responses.test.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
 import {createSeededRandom, type Random} from '@shallotpond/kernel/random';
-import {createFixture, key, pick, send, sendRaw, type Fixture} from './support.js';
+import {createFixture, key, pick, send, sendRaw, waitUntil, type Fixture} from './support.js';
 
 let fixture: Fixture;
 
@@ -75,9 +75,16 @@
 test.each(['X : a', ': a', 'X y: a'])(
 	'a response that has begun does not look complete if its trailer is %j',
 	async trailer => {
-		const bytes = `${chunkedHead}\r\n2\r\nok\r\n0\r\n${trailer}\r\n\r\n`;
-		fixture.target.setBehaviour({kind: 'raw', bytes, ends: true});
-		const {error} = await send(fixture);
+		fixture.target.setBehaviour({kind: 'raw', bytes: `${chunkedHead}\r\n2\r\nok\r\n`});
+		let received = '';
+		const sent = send(fixture, {
+			onData(text) {
+				received += text;
+			},
+		});
+		await waitUntil(() => received === 'ok');
+		fixture.received()[0]!.socket.end(`0\r\n${trailer}\r\n\r\n`);
+		const {error} = await sent;
 		expect(error).toBeDefined();
 		expect(fixture.state.outcomes).toMatchObject([{result: 'incomplete'}]);
 	},
