Use nine tenths of the rate of cold targets

The fleet used 0.6 of the rate, to let permits stay valid for longer. The bound holds for any rate, because the lifetime follows from it. In the model the worst seconds are 9 to 18 (20 allowed), as before, and 77 to 89 requests are served by cold targets alone at a low load (64 owed).

--- a/packages/policy-routing/src/cold-target-permits.ts
+++ b/packages/policy-routing/src/cold-target-permits.ts
@@ -46,8 +46,8 @@
  * fleet, and requests that arrive later than they were sent.
  */
 const usedBoundFraction = 0.75;
-/** Fraction of the cold rate that is used, so that permits can stay valid for longer. */
-const usedRateFraction = 0.6;
+/** Fraction of the cold rate that is used. A lower rate would let permits stay valid for longer. */
+const usedRateFraction = 0.9;
 /** Minimum time for which a permit can be used. */
 const minLifetimeMs = 1000;
 const retentionMs = 60_000;
