Frame responses without a length, so that a killed instance cannot cut them unseen

Cause: such a response was passed on without framing, and the operating system ends the connections of a killed process in order. Framing had been taken out because parts had looked whole where targets crash; their connections were believed to have ended in order.

Up to 16 KiB, which the operating system takes in one write, it still has no framing. The caller's connection stays open after a framed one.

Open, as before: a target that ends a body early but in order. A killed process does so if it has read all of its request (seen with a stand-in).

--- a/packages/io-http/src/__tests__/request-dialect.test.ts
+++ b/packages/io-http/src/__tests__/request-dialect.test.ts
@@ -163,6 +163,72 @@
 	// More than is held back.
 	const longBody = 'watch 7 '.repeat(40_000);
 
+	// Held back until its end, but more than the operating system takes in one write.
+	const mediumBody = 'watch 7 '.repeat(6000);
+
+	/**
+	 * Passes on the first bytes of each response and then ends the connection in order, as the
+	 * operating system does with the connections of a killed process.
+	 */
+	async function startRelayThatCuts(bytes: number): Promise<net.Server> {
+		const relay = net.createServer(caller => {
+			let rest = bytes;
+			const instance = net.connect(fixture.listener.port, '127.0.0.1');
+			caller.on('error', () => undefined).pipe(instance);
+			instance.on('error', () => undefined);
+			instance.on('data', chunk => {
+				caller.write(chunk.subarray(0, rest));
+				rest = Math.max(0, rest - chunk.length);
+				if (rest === 0) {
+					caller.end();
+					instance.destroy();
+				}
+			});
+		});
+		await new Promise<void>(resolve => {
+			relay.listen(0, '127.0.0.1', resolve);
+		});
+		return relay;
+	}
+
+	test.each([
+		['is held until its end', mediumBody],
+		['is passed on as it arrives', longBody],
+	])(
+		'a part of a response without a length that %s does not look complete when the instance is killed',
+		async (_when, body) => {
+			const relay = await startRelayThatCuts(30_000);
+			behaviours = [socket => void socket.end(head + body)];
+			const {port} = relay.address() as net.AddressInfo;
+			const {error} = await send(fixture, {headers, port});
+			relay.close();
+			expect(error).toBeDefined();
+			expect(await send(fixture, {headers})).toMatchObject({status: 200, body, error: undefined});
+		},
+	);
+
+	test.each([
+		['is held until its end', mediumBody],
+		['is passed on as it arrives', longBody],
+	])(
+		'a part of a response without a length that %s does not look complete when the target crashes',
+		async (_when, body) => {
+			behaviours = [
+				socket => {
+					socket.write(head + body, () => {
+						socket.resetAndDestroy();
+					});
+				},
+			];
+			for (let round = 0; round < 30; round++) {
+				const {status, error} = await send(fixture, {headers, method: 'POST', body: 'swap'});
+				expect(status === 502 || error !== undefined).toBe(true);
+			}
+
+			expect(new Set(results)).toEqual(new Set(['incomplete']));
+		},
+	);
+
 	/** Writes a response, and more bytes after the delay, before the connection ends. */
 	function respondTwice(first: string, second: string, delay: number): Behaviour {
 		return socket => {
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -32,7 +32,7 @@
 	createRepeatedResponseFilter,
 	type RepeatedResponseFilter,
 } from './repeated-response-filter.js';
-import {pumpResponse, type PumpResult} from './response-pump.js';
+import {pumpResponse, type CallerFraming, type PumpResult} from './response-pump.js';
 import {startAttempt, type AttemptResponse, type AttemptFailure} from './attempt.js';
 import {createByteBudget} from './byte-budget.js';
 import {type Cancellation} from './cancellation.js';
@@ -351,23 +351,18 @@
 		return isReplaced ? setback : undefined;
 	}
 
-	/** `bodyBytes` is set if the length of the body is known although its framing does not show it. */
 	function beginResponse(
 		request: ForwardedRequest,
 		targetResponse: IncomingMessage,
-		bodyBytes: number | undefined,
+		framing: CallerFraming,
 	): void {
 		const headers = createCallerHeaders(targetResponse.rawHeaders, dialect);
-		if (bodyBytes !== undefined) {
-			headers.push('content-length', String(bodyBytes));
+		if (typeof framing === 'number') {
+			headers.push('content-length', String(framing));
 		}
 
-		const isUnframed =
-			bodyBytes === undefined && endsWithConnection(request.method, targetResponse);
-		// The proxy cannot tell whether a body without framing is complete. It sends such a body
-		// without chunked encoding, whose last chunk would tell the caller that the body is complete.
-		request.response.useChunkedEncodingByDefault = !isUnframed;
-		if (options.isLeaving() || isUnframed) {
+		request.response.useChunkedEncodingByDefault = framing !== 'none';
+		if (options.isLeaving() || framing === 'none') {
 			headers.push('connection', 'close');
 		}
 
@@ -500,9 +495,9 @@
 			clock,
 			targetResponse,
 			response,
-			begin(bodyBytes) {
+			begin(framing) {
 				if (!progress.hasResponseBegun) {
-					beginResponse(request, targetResponse, bodyBytes);
+					beginResponse(request, targetResponse, framing);
 					progress.hasResponseBegun = true;
 					progress.download = isIdempotent(request)
 						? readResumableDownload(method, request.headers, targetResponse)
--- a/packages/io-http/src/response-pump.ts
+++ b/packages/io-http/src/response-pump.ts
@@ -34,15 +34,27 @@
 	 */
 	| 'cancelled';
 
+/** What shows the caller where the body ends. */
+export type CallerFraming =
+	/** The length that the target declared; chunks if it declared none. */
+	| 'default'
+	/** Only the end of the connection. */
+	| 'none'
+	/** A length, bytes; the target did not declare it. */
+	| number;
+
+/**
+ * Bytes that the operating system takes from the process in one write: the initial send buffer of a
+ * connection on Linux is at least this large.
+ */
+const maxBytesOfOneWrite = 16_384;
+
 export type PumpOptions = {
 	readonly clock: Clock;
 	readonly targetResponse: IncomingMessage;
 	readonly response: ServerResponse;
-	/**
-	 * Called before the first byte is forwarded, with the bytes of the body if they are known although
-	 * its framing does not show them.
-	 */
-	readonly begin: (bodyBytes?: number) => void;
+	/** Called before the first byte is forwarded. */
+	readonly begin: (framing: CallerFraming) => void;
 	/** Bytes of the body to wait for before anything is forwarded; 0 if the response has begun. */
 	readonly holdBytes: number;
 	/**
@@ -143,10 +155,10 @@
 			}
 		}
 
-		function begin(bodyBytes?: number): void {
+		function begin(framing: CallerFraming): void {
 			hasBegun = true;
 			try {
-				options.begin(bodyBytes);
+				options.begin(framing);
 			} catch {
 				// Node refuses to write some heads that its parser accepts, such as status code 099.
 				finish('cut');
@@ -178,7 +190,7 @@
 			budgetedBytes += isBudgeted ? chunk.length : 0;
 			// A body below the minimum is held in any case, because it must not be forwarded.
 			if (heldBytes >= options.holdBytes || (!isBudgeted && heldBytes >= options.minBodyBytes)) {
-				begin();
+				begin('default');
 			}
 		}
 
@@ -214,6 +226,19 @@
 			return content === 'repeated';
 		}
 
+		/**
+		 * Framing for a body that has been held until its end. Without one, the connections of a killed
+		 * process end as after a whole body. A short body is in the hands of the operating system by
+		 * then, so it gets no framing, which would claim more than the end of the target's connection.
+		 */
+		function framingOfHeldBody(isBodyCertain: boolean): CallerFraming {
+			if (unframed === undefined) {
+				return 'default';
+			}
+
+			return isBodyCertain || heldBytes > maxBytesOfOneWrite ? heldBytes : 'none';
+		}
+
 		function handleDrain(): void {
 			callerTimer?.suspend();
 			targetTimer.touch();
@@ -238,7 +263,7 @@
 					return;
 				}
 
-				begin(isBodyCertain ? heldBytes : undefined);
+				begin(framingOfHeldBody(isBodyCertain));
 			}
 
 			// If `begin` failed, it has already called `finish`, and this call does nothing.
