Test that a malformed trailer of a streamed request ends it at its target

malformed-responses sends such a trailer behind a body that is held in memory, so nothing is forwarded yet. The target must not see the end of the body.

--- a/packages/io-http/src/__tests__/parser-errors.test.ts
+++ b/packages/io-http/src/__tests__/parser-errors.test.ts
@@ -2,8 +2,9 @@
  * Guards against results that depend on whether Node's parser or the proxy's own check refuses a
  * malformed response, and against malformed responses that count as crashes of their targets.
  */
+import net from 'node:net';
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
-import {createFixture, problemOf, send, waitUntil, type Fixture} from './support.js';
+import {createFixture, key, problemOf, send, waitUntil, type Fixture} from './support.js';
 
 let fixture: Fixture;
 
@@ -131,3 +132,25 @@
 		expect(fixture.state.outcomes).toMatchObject([{result: 'incomplete'}]);
 	},
 );
+
+test.each(['X : a', ': a', 'X y: a', 'X: a\r\n b'])(
+	'a request whose body is streamed does not look complete to its target if its trailer is %j',
+	async trailer => {
+		// More than is held in memory.
+		const bodyBytes = 100_000;
+		const caller = net.connect(fixture.listener.port, '127.0.0.1');
+		const closed = new Promise(resolve => {
+			caller.on('error', () => undefined).on('close', resolve);
+		});
+		caller.resume();
+		caller.write(
+			`POST /a HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\nTransfer-Encoding: chunked\r\n\r\n`,
+		);
+		caller.write(`${bodyBytes.toString(16)}\r\n${'a'.repeat(bodyBytes)}\r\n`);
+		await waitUntil(() => fixture.received()[0]?.body.length === bodyBytes);
+		caller.write(`0\r\n${trailer}\r\n\r\n`);
+		await closed;
+		await waitUntil(() => fixture.received()[0]!.isAborted);
+		expect(fixture.received()).toMatchObject([{isComplete: false}]);
+	},
+);
