Test cold targets with a new fleet, a cut and few instances

A cut between two domains makes the whole fleet take healthy targets for cold. A single instance refuses two of four requests in two seconds, although the target bears ten per second.

--- a/packages/gateway/src/__tests__/cold-targets.test.ts
+++ b/packages/gateway/src/__tests__/cold-targets.test.ts
@@ -117,6 +117,21 @@
 		expect(worstSecond(attempts, () => true)).toBeLessThanOrEqual(maxPerSecond);
 	});
 
+	test.each(seeds)(
+		'are not flooded while the members do not know each other yet (seed %i)',
+		seed => {
+			const targets = createTargets({count: 60, create: () => ({coldFor: 2000})});
+			const {attempts} = simulate({
+				targets,
+				instancesPerDomain: 12,
+				rate: 1500,
+				duration: 2000,
+				seed,
+			});
+			expect(worstSecond(attempts, () => true)).toBeLessThanOrEqual(maxPerSecond);
+		},
+	);
+
 	test.each(seeds)('are not flooded by a fleet without contact (seed %i)', seed => {
 		const targets = createTargets({
 			count: 12,
@@ -184,6 +199,42 @@
 		expect(reasons).toContain('connection-failed');
 	});
 
+	test.each(seeds)('a cut between two domains does not make targets cold (seed %i)', seed => {
+		const isCut = (from: string, to: string, now: number) => {
+			const ends = new Set([from, to].map(name => name.split('-')[0]));
+
+			return now >= 3000 && now < 8000 && ends.has('north') && ends.has('south');
+		};
+
+		const reasons: unknown[] = [];
+		const targets = createTargets({
+			count: 40,
+			create: index => ({
+				respond: (now, from) =>
+					isCut(from, failureDomains[index % failureDomains.length]!, now)
+						? {result: 'connection-failed', latency: 300}
+						: {result: 'ok', latency: 150},
+			}),
+		});
+		simulate({
+			targets,
+			instancesPerDomain: 9,
+			rate: 100,
+			maxAttempts: 3,
+			isCut,
+			seed,
+			log: {
+				write(event, fields) {
+					if (event === 'target-cold') {
+						reasons.push(fields?.reason);
+					}
+				},
+			},
+		});
+		expect(reasons).not.toContain('out-of-reach');
+		expect(reasons).toContain('connection-failed');
+	});
+
 	test.each(seeds)('serve what they bear while no other target is left (seed %i)', seed => {
 		const targets = createTargets({count: 8, create: () => ({listedAt: 5000, coldFor: 5000})});
 		const {attempts} = simulate({targets, instancesPerDomain: 9, rate: 16, seed});
--- a/packages/policy-routing/src/__tests__/cold-target-permits.test.ts
+++ b/packages/policy-routing/src/__tests__/cold-target-permits.test.ts
@@ -118,3 +118,22 @@
 	expect(permits.isAvailable(target, 10, 4000)).toBe(false);
 	expect(permits.isAvailable(target, 10, 6500)).toBe(true);
 });
+
+test('requests that reach the only instance together are not refused while the target bears them', () => {
+	const permits = createColdTargetPermits({
+		bound: {excess: 1.5, slack: 5},
+		fleetSize: () => 1,
+		fleetPosition: () => 0,
+		targetPosition: () => 0,
+	});
+	let permitted = 0;
+	for (const now of [0, 1000, 1000, 1000]) {
+		if (permits.isAvailable(target, 10, now)) {
+			permits.use(target, 10, now);
+			permitted++;
+		}
+	}
+
+	// Four requests in two seconds; the target bears ten per second.
+	expect(permitted).toBe(4);
+});
