Tell a cut between failure domains from an outage of a target

Three instances of one domain that is cut off from a target's domain counted as an outage, because responses reach the others only every 0.5 to 0.75 s. Reporters must now include an instance in the domain of the target, or be in two domains.

--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -155,8 +155,6 @@
 const inUseSeconds = inUseWindowMs / millisecondsPerSecond;
 const hundredths = 100;
 const noOutcomes: OutcomeCounts = {good: 0, bad: 0, busy: 0, latency: 0};
-/** Names this instance among those that failed to connect to a target. */
-const self = '';
 
 /** Rounds to the two decimal places that are useful in the log. */
 function roundForLog(value: number): number {
@@ -181,6 +179,8 @@
 	/** Number of failures to connect since the last report, by incarnation. */
 	const unreachedTargets = new Map<string, number>();
 	const outages = createTargetOutages();
+	/** Names this instance among those that failed to connect to a target. */
+	const self = {address: '', failureDomain: options.failureDomain};
 	/** Requests of the whole fleet within `rateWindowMs`, by service. */
 	const requestCounters = new Map<string, SlidingWindowCounter>();
 	/** Incarnations that have been logged as suspected and not yet as trusted again. */
@@ -246,6 +246,10 @@
 		return coldRate === undefined || coldPermits.isAvailable(target, coldRate, now);
 	}
 
+	function outageTargetOf({incarnation, definition}: KnownTarget) {
+		return {incarnation, failureDomain: definition.failureDomain};
+	}
+
 	function isInActiveDomain(target: KnownTarget): boolean {
 		return configuration.tables?.isDomainActive(target.definition.failureDomain) ?? false;
 	}
@@ -443,7 +447,7 @@
 		if (result === 'connection-failed') {
 			const {incarnation} = target;
 			unreachedTargets.set(incarnation, (unreachedTargets.get(incarnation) ?? 0) + 1);
-			outages.recordFailure(incarnation, self, now);
+			outages.recordFailure(outageTargetOf(target), self, now);
 		} else if (outcomeClass === 'good' || outcomeClass === 'busy') {
 			recordResponse(target, now);
 		}
@@ -624,7 +628,7 @@
 					recordStaleConnection(target, now);
 				}
 
-				if (unreached > 0 && outages.recordFailure(incarnation, from.address, now)) {
+				if (unreached > 0 && outages.recordFailure(outageTargetOf(target), from, now)) {
 					markCold(target, 'out-of-reach', now);
 				}
 
--- a/packages/policy-routing/src/target-outages.ts
+++ b/packages/policy-routing/src/target-outages.ts
@@ -2,15 +2,20 @@
  * Detects that a target was out of reach of the whole fleet. A target that returns from an outage
  * may have restarted and be cold, and its entry at the platform may not show this for seconds. One
  * instance that fails to connect cannot tell an outage from a broken path, so several instances must
- * have failed while no instance had a response of the target. Each `now` is in milliseconds of the
- * monotonic clock.
+ * have failed while no instance had a response of the target. A failure domain that is cut off from
+ * the target is a broken path, too: unless one of the instances is in the domain of the target, they
+ * must be in two domains. Each `now` is in milliseconds of the monotonic clock.
  */
+export type OutageReporter = {readonly address: string; readonly failureDomain: string};
+
+export type OutageTarget = {readonly incarnation: string; readonly failureDomain: string};
+
 export type TargetOutages = {
 	/**
-	 * Records that an instance, named by its address, could not connect to the target. Returns whether
-	 * the target is out of reach of the fleet.
+	 * Records that an instance could not connect to the target. Returns whether the target is out of
+	 * reach of the fleet.
 	 */
-	recordFailure(incarnation: string, reporter: string, now: number): boolean;
+	recordFailure(target: OutageTarget, reporter: OutageReporter, now: number): boolean;
 	/**
 	 * Records that an instance had a response of the target. Returns whether this ends an outage.
 	 */
@@ -29,8 +34,10 @@
 const retentionMs = 60_000;
 
 type Contact = {
-	/** Addresses of the instances that have failed to connect since the last response. */
-	reporters: Set<string>;
+	/**
+	 * Instances that have failed to connect since the last response: failure domains by address.
+	 */
+	reporters: Map<string, string>;
 	/** Time of the last response, or of the first failure of a target without a response. */
 	respondedAt: number;
 	isOut: boolean;
@@ -43,7 +50,7 @@
 	function contactOf(incarnation: string, now: number): Contact {
 		let contact = contacts.get(incarnation);
 		if (contact === undefined) {
-			contact = {reporters: new Set(), respondedAt: now, isOut: false, updatedAt: now};
+			contact = {reporters: new Map(), respondedAt: now, isOut: false, updatedAt: now};
 			contacts.set(incarnation, contact);
 		}
 
@@ -52,11 +59,14 @@
 	}
 
 	return {
-		recordFailure(incarnation, reporter, now) {
+		recordFailure({incarnation, failureDomain}, reporter, now) {
 			const contact = contactOf(incarnation, now);
-			contact.reporters.add(reporter);
+			contact.reporters.set(reporter.address, reporter.failureDomain);
+			const domains = new Set(contact.reporters.values());
 			contact.isOut ||=
-				contact.reporters.size >= minReporters && now - contact.respondedAt >= minSilenceMs;
+				contact.reporters.size >= minReporters &&
+				(domains.has(failureDomain) || domains.size > 1) &&
+				now - contact.respondedAt >= minSilenceMs;
 			return contact.isOut;
 		},
 		recordResponse(incarnation, now) {
