Spread the permits of a fleet whose members are not known yet

The position is now random in the first second; each schedule then takes the position by the roster once and keeps it, because a change of many positions at the same time would make many permits begin together. The assumed size holds for 3 s, in which all members become known.

Permits of earlier periods can be used until they lapse, so that one or few instances don't refuse requests that arrive close together.

--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -116,9 +116,11 @@
 /** Time over which the request rate of a service is measured. */
 const rateWindowMs = 5000;
 /** Milliseconds after the start in which a process may not know all members of the fleet. */
-const discoveryTimeMs = 5000;
-/** Assumed by a process that may not know all members of the fleet. */
+const discoveryTimeMs = 3000;
+/** Assumed while not all members may be known; the smallest deployments have 1.2. */
 const maxInstancesPerTarget = 2;
+/** Milliseconds after the start in which too few members are known for a position among them. */
+const minPositionAgeMs = 1000;
 /** How long the connection of a served request is expected to stay open. */
 const connectionTtlMs = 7500;
 const millisecondsPerSecond = 1000;
@@ -220,14 +222,22 @@
 	}
 
 	/**
-	 * Number of instances that may be serving. A new process may not know all members yet, so it
-	 * assumes a large fleet for the number of targets.
+	 * Number of instances that may be serving. A new process may not know all members yet; a fleet
+	 * has fewer than twice as many instances as targets.
 	 */
 	function fleetSize(now: number): number {
 		const isNew = now - startedAt < discoveryTimeMs;
 		return Math.max(options.fleetSize(), isNew ? directory.size * maxInstancesPerTarget : 1);
 	}
 
+	/**
+	 * In a fleet that starts at once, the positions by the few known members are the same at many
+	 * instances, whose permits would then be valid together.
+	 */
+	function fleetPosition(now: number): number | undefined {
+		return now - startedAt < minPositionAgeMs ? undefined : options.fleetPosition();
+	}
+
 	function targetPosition({service, incarnation}: KnownTarget, now: number): number {
 		const targets = directory.usable(service, now);
 		const before = targets.filter(target => target.incarnation < incarnation);
@@ -237,8 +247,9 @@
 	const coldPermits = createColdTargetPermits({
 		bound: options.coldBound,
 		fleetSize,
-		fleetPosition: options.fleetPosition,
+		fleetPosition,
 		targetPosition,
+		random,
 	});
 
 	function mayUseCold(target: KnownTarget, now: number): boolean {
--- a/packages/policy-routing/src/__tests__/cold-target-permits.test.ts
+++ b/packages/policy-routing/src/__tests__/cold-target-permits.test.ts
@@ -43,6 +43,7 @@
 				fleetSize: now => sizeOf(index, now),
 				fleetPosition: () => index / instances,
 				targetPosition: () => 0.3,
+				random: () => 0.5,
 			}),
 		),
 	};
@@ -113,6 +114,7 @@
 		fleetSize: () => 48,
 		fleetPosition: () => 0,
 		targetPosition: () => 0,
+		random: () => 0.5,
 	});
 	expect(permits.isAvailable(target, 10, 0)).toBe(true);
 	expect(permits.isAvailable(target, 10, 4000)).toBe(false);
@@ -125,6 +127,7 @@
 		fleetSize: () => 1,
 		fleetPosition: () => 0,
 		targetPosition: () => 0,
+		random: () => 0.5,
 	});
 	let permitted = 0;
 	for (const now of [0, 1000, 1000, 1000]) {
--- a/packages/policy-routing/src/cold-target-permits.ts
+++ b/packages/policy-routing/src/cold-target-permits.ts
@@ -11,6 +11,7 @@
  * over the period; for one instance, so are its permits for the targets of a service. Each `now` is
  * in milliseconds of the monotonic clock.
  */
+import {type Random} from '@shallotpond/kernel/random';
 import {type KnownTarget} from './target-directory.js';
 
 export type ColdTargetPermits = {
@@ -19,7 +20,7 @@
 	 * requests per second that the target can serve. The first call starts the schedule of the target.
 	 */
 	isAvailable(target: KnownTarget, coldRate: number, now: number): boolean;
-	/** Uses the current permit of the target. */
+	/** Uses the oldest valid permit of the target. */
 	use(target: KnownTarget, coldRate: number, now: number): void;
 	/** Removes the schedules of targets that have not been cold for a minute. */
 	prune(now: number): void;
@@ -35,8 +36,12 @@
 	readonly bound: ColdBound;
 	/** Number of instances that may be serving, including those that are out of contact. */
 	readonly fleetSize: (now: number) => number;
-	/** Position of this instance among all instances, as a fraction of their number, 0 to 1. */
-	readonly fleetPosition: () => number;
+	/**
+	 * Position of this instance among all instances, as a fraction of their number, 0 to 1; undefined
+	 * while too few of them are known. A random position is used until then.
+	 */
+	readonly fleetPosition: (now: number) => number | undefined;
+	readonly random: Random;
 	/** Position of the target in its service, as a fraction of the number of targets, 0 to 1. */
 	readonly targetPosition: (target: KnownTarget, now: number) => number;
 };
@@ -56,6 +61,11 @@
 type Schedule = {
 	/** Time since the schedule began, in periods; the length of the period may change. */
 	elapsedPeriods: number;
+	/** Position of the target in its service when the schedule began. */
+	readonly targetPosition: number;
+	/** Positions are kept, because a change of many at once would make many permits begin together. */
+	fleetPosition: number;
+	isFleetPositionKnown: boolean;
 	updatedAt: number;
 	/** Number of the last period whose permit was used; -1 for none. */
 	usedPeriod: number;
@@ -85,31 +95,56 @@
 	function scheduleAt(target: KnownTarget, {period}: PermitTimes, now: number): Schedule {
 		let schedule = schedules.get(target.incarnation);
 		if (schedule === undefined) {
-			const elapsedPeriods = (options.fleetPosition() + options.targetPosition(target, now)) % 1;
-			schedule = {elapsedPeriods, updatedAt: now, usedPeriod: -1};
+			schedule = {
+				elapsedPeriods: 0,
+				targetPosition: options.targetPosition(target, now),
+				fleetPosition: options.random(),
+				isFleetPositionKnown: false,
+				updatedAt: now,
+				usedPeriod: -1,
+			};
 			schedules.set(target.incarnation, schedule);
 		}
 
+		const fleetPosition = schedule.isFleetPositionKnown ? undefined : options.fleetPosition(now);
+		if (fleetPosition !== undefined) {
+			schedule.fleetPosition = fleetPosition;
+			schedule.isFleetPositionKnown = true;
+		}
+
 		schedule.elapsedPeriods += Math.max(0, now - schedule.updatedAt) / period;
 		schedule.updatedAt = now;
 		return schedule;
 	}
 
+	/**
+	 * Number of the oldest period whose permit has neither been used nor lapsed, and of the current
+	 * one. In a small fleet, permits stay valid for several periods.
+	 */
+	function validPeriodsOf(target: KnownTarget, coldRate: number, now: number) {
+		const times = permitTimesOf(coldRate, now);
+		const schedule = scheduleAt(target, times, now);
+		const elapsed = schedule.elapsedPeriods + schedule.targetPosition + schedule.fleetPosition;
+		const oldest = Math.floor(elapsed - times.lifetime / times.period) + 1;
+		return {
+			schedule,
+			oldest: Math.max(schedule.usedPeriod + 1, oldest),
+			current: Math.floor(elapsed),
+		};
+	}
+
 	return {
 		isAvailable(target, coldRate, now) {
 			if (coldRate <= 0) {
 				return false;
 			}
 
-			const times = permitTimesOf(coldRate, now);
-			const {elapsedPeriods, usedPeriod} = scheduleAt(target, times, now);
-			const currentPeriod = Math.floor(elapsedPeriods);
-			const permitAge = (elapsedPeriods - currentPeriod) * times.period;
-			return currentPeriod > usedPeriod && permitAge < times.lifetime;
+			const {oldest, current} = validPeriodsOf(target, coldRate, now);
+			return oldest <= current;
 		},
 		use(target, coldRate, now) {
-			const schedule = scheduleAt(target, permitTimesOf(coldRate, now), now);
-			schedule.usedPeriod = Math.floor(schedule.elapsedPeriods);
+			const {schedule, oldest, current} = validPeriodsOf(target, coldRate, now);
+			schedule.usedPeriod = Math.max(schedule.usedPeriod, Math.min(oldest, current));
 		},
 		prune(now) {
 			for (const [incarnation, {updatedAt}] of schedules) {
