Hold the retry budget of the fleet while processes restart

Each process could spend the budget of a whole window at once, and its successor had it again.

The budget is now refilled evenly, 40% of it can be saved, and a new process sends no retries for the time that refills as much, 4 s. A process and its successor then stay within one budget wherever the restart lies in the window. Requests are counted in steps of a fiftieth of the window, because one of a tenth made the window too long and used up the margin of a busy service. The first start of a whole fleet does not wait.

The check of fleet-limits is unchanged.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,6 +127,7 @@
 export function createGateway(options: GatewayOptions): Gateway {
 	const {clock, random, log, metrics} = options;
 	const kernel = createKernel<GatewayServices>();
+	const startedAt = clock.monotonic();
 	let isStopping = false;
 	let wasUncertain = false;
 
@@ -162,7 +163,7 @@
 	});
 	const rateLimiter = createWorkspaceRateLimiter({
 		bound: options.rateBound,
-		startedAt: clock.monotonic(),
+		startedAt,
 		reachableRatio: () => fleet.roster.reachableRatio(clock.monotonic()),
 		isReachable: member => fleet.roster.isReachable(member, clock.monotonic()),
 		fleetSize: () => fleet.roster.reachableCount(clock.monotonic()),
@@ -174,6 +175,7 @@
 		reserve: options.retryBudget.reserve,
 		window: options.retryBudget.window,
 		fleetSize: () => Math.max(minAssumedInstances, fleet.roster.peakSize),
+		startedAt: options.isFirstStart ? Number.NEGATIVE_INFINITY : startedAt,
 	});
 	const fleet = createFleetMessagingService({
 		clock,
--- a/packages/policy-routing/src/__tests__/fleet-limits.test.ts
+++ b/packages/policy-routing/src/__tests__/fleet-limits.test.ts
@@ -273,7 +273,11 @@
 	test('the retries of all instances together stay within the budget without communication', () => {
 		const budget = {ratio: 0.2, reserve: 58, window: 10_000};
 		const instances = Array.from({length: 36}, () =>
-			createLocalRetryBudget({...budget, fleetSize: () => 36}),
+			createLocalRetryBudget({
+				...budget,
+				fleetSize: () => 36,
+				startedAt: Number.NEGATIVE_INFINITY,
+			}),
 		);
 		let requests = 0;
 		let retries = 0;
--- a/packages/policy-routing/src/local-retry-budget.ts
+++ b/packages/policy-routing/src/local-retry-budget.ts
@@ -3,7 +3,13 @@
  * has a budget of its own: in every window the fleet may send up to `ratio` times the service's
  * requests plus `reserve` as retries. Each instance applies the same ratio to its own requests and
  * uses an equal part of the reserve, so the limit holds for the whole fleet, also while instances
- * cannot reach each other. Each `now` is in milliseconds of the monotonic clock.
+ * cannot reach each other.
+ *
+ * A new process does not know what its predecessor has spent within the window. The budget is
+ * therefore refilled evenly, at most `burstFraction` of it can be saved, and a new process sends no
+ * retries for as long as that part takes to be refilled. A process that spent what it could before
+ * it was killed and its successor then stay within one budget together, also when all instances
+ * restart at once. Each `now` is in milliseconds of the monotonic clock.
  */
 import {createSlidingWindowCounter, type SlidingWindowCounter} from './sliding-window-counter.js';
 
@@ -22,6 +28,11 @@
 	 * exceed the budget.
 	 */
 	readonly fleetSize: () => number;
+	/**
+	 * Monotonic milliseconds of the start of this instance; negative infinity if no process can have
+	 * run before it.
+	 */
+	readonly startedAt: number;
 };
 
 export type LocalRetryBudget = {
@@ -31,18 +42,43 @@
 	take(service: string, now: number): boolean;
 };
 
-type Usage = {readonly requests: SlidingWindowCounter; readonly retries: SlidingWindowCounter};
+/**
+ * Part of the budget of a window that can be spent at once. A larger part replaces more responses at
+ * the beginning of an incident; a smaller one lets a new process send retries sooner.
+ */
+const burstFraction = 0.4;
+/** Retries that can be saved however small the budget is. */
+const minBurst = 1;
+/**
+ * A counter's window is longer than `window` by up to one step. For requests the steps are short:
+ * one of a tenth of the window would use up the margin of a busy service.
+ */
+const requestSteps = 50;
+/** Minimum milliseconds over which a new process extrapolates its requests to a whole window. */
+const minObservationMs = 1000;
+
+type Usage = {
+	readonly requests: SlidingWindowCounter;
+	readonly retries: SlidingWindowCounter;
+	/** Retries that can be sent at once. */
+	saved: number;
+	/** Monotonic milliseconds of the last refill. */
+	refilledAt: number;
+};
 
 export function createLocalRetryBudget(options: LocalRetryBudgetOptions): LocalRetryBudget {
+	const {startedAt, window} = options;
 	const usages = new Map<string, Usage>();
+	const refillFrom = startedAt + burstFraction * window;
 
 	function usageOf(service: string): Usage {
 		let usage = usages.get(service);
 		if (usage === undefined) {
-			const {window} = options;
 			usage = {
-				requests: createSlidingWindowCounter({window}),
+				requests: createSlidingWindowCounter({window, steps: requestSteps}),
 				retries: createSlidingWindowCounter({window}),
+				saved: 0,
+				refilledAt: refillFrom,
 			};
 			usages.set(service, usage);
 		}
@@ -50,19 +86,34 @@
 		return usage;
 	}
 
+	/** This instance's part of the budget of one window. */
+	function budgetOf({requests}: Usage, now: number): number {
+		const observedMs = Math.min(window, Math.max(minObservationMs, now - startedAt));
+		const requestsPerWindow = (requests.total(now) / observedMs) * window;
+		return options.ratio * requestsPerWindow + options.reserve / Math.max(1, options.fleetSize());
+	}
+
+	function refill(usage: Usage, budget: number, now: number): void {
+		const elapsed = Math.min(window, Math.max(0, now - usage.refilledAt));
+		const saved = usage.saved + (elapsed / window) * budget;
+		usage.saved = Math.min(Math.max(minBurst, budget * burstFraction), saved);
+		usage.refilledAt = Math.max(usage.refilledAt, now);
+	}
+
 	return {
 		countRequest(service, now) {
 			usageOf(service).requests.add(1, now);
 		},
 		take(service, now) {
-			const {requests, retries} = usageOf(service);
-			const maxRetries =
-				options.ratio * requests.total(now) + options.reserve / Math.max(1, options.fleetSize());
-			if (retries.total(now) + 1 > maxRetries) {
+			const usage = usageOf(service);
+			const budget = budgetOf(usage, now);
+			refill(usage, budget, now);
+			if (usage.saved < 1 || usage.retries.total(now) + 1 > budget) {
 				return false;
 			}
 
-			retries.add(1, now);
+			usage.saved--;
+			usage.retries.add(1, now);
 			return true;
 		},
 	};
