--- a/packages/policy-fleet/src/__tests__/fleet-member.test.ts
+++ b/packages/policy-fleet/src/__tests__/fleet-member.test.ts
@@ -185,6 +185,28 @@
 		}
 	});
 
+	test('outcomes and failures to connect that wait for the next report are added up', () => {
+		const fleet = createFleet(6, ['10.0.0.0']);
+		fleet.run(4000);
+		const instance = fleet.instances.get('10.0.0.1')!;
+		const outcome: TargetReport = {...failure, good: 2, stale: 1, unreached: 3, latency: 50};
+		// The first report is due at once; the other outcomes wait for the next one.
+		for (let count = 0; count < 3; count++) {
+			instance.content.targets.push(outcome);
+			fleet.run(50);
+		}
+
+		fleet.run(2000);
+		for (const {self, received} of fleet.instances.values()) {
+			const sum = (name: 'good' | 'bad' | 'stale' | 'unreached' | 'latency') =>
+				received.reduce((total, report) => total + report[name], 0);
+			const sums = [sum('good'), sum('bad'), sum('stale'), sum('unreached'), sum('latency')];
+			const isReporter = self.address === '10.0.0.1';
+			expect(sums).toEqual(isReporter ? [0, 0, 0, 0, 0] : [6, 3, 3, 9, 150]);
+			expect(received).toHaveLength(isReporter ? 0 : 2);
+		}
+	});
+
 	test('a leaving target is reported to every instance, although single datagrams are lost', () => {
 		const fleet = createFleet(30, ['10.0.0.0']);
 		fleet.run(4000);
