Let instances save half of their retry budget, or two retries

With 40%, or one retry, small services lost replacements for which the window had room: a request may need two retries. A new process now starts as if its predecessor had just spent as much, at most its whole budget, so its wait depends on the service: 5 s, up to 10 s with few requests.

--- a/packages/policy-routing/src/local-retry-budget.ts
+++ b/packages/policy-routing/src/local-retry-budget.ts
@@ -6,10 +6,10 @@
  * cannot reach each other.
  *
  * A new process does not know what its predecessor has spent within the window. The budget is
- * therefore refilled evenly, at most `burstFraction` of it can be saved, and a new process sends no
- * retries for as long as that part takes to be refilled. A process that spent what it could before
- * it was killed and its successor then stay within one budget together, also when all instances
- * restart at once. Each `now` is in milliseconds of the monotonic clock.
+ * therefore refilled evenly, only a part of it can be saved, and a new process sends no retries for
+ * as long as that part takes to be refilled. A process that spent what it could before it was killed
+ * and its successor then stay within one budget together, also when all instances restart at once.
+ * Each `now` is in milliseconds of the monotonic clock.
  */
 import {createSlidingWindowCounter, type SlidingWindowCounter} from './sliding-window-counter.js';
 
@@ -46,22 +46,30 @@
  * Part of the budget of a window that can be spent at once. A larger part replaces more responses at
  * the beginning of an incident; a smaller one lets a new process send retries sooner.
  */
-const burstFraction = 0.4;
-/** Retries that can be saved however small the budget is. */
-const minBurst = 1;
+const burstFraction = 0.5;
+/** Retries that can be saved however small the budget is, because a request may need two. */
+const minBurst = 2;
 /**
  * A counter's window is longer than `window` by up to one step. For requests the steps are short:
  * one of a tenth of the window would use up the margin of a busy service.
  */
 const requestSteps = 50;
+/**
+ * Windows after which a budget of one retry or more has been refilled in any case; bounds the time
+ * since the last refill, which is infinite at the first start of a fleet.
+ */
+const maxRefillWindows = 10;
 /** Minimum milliseconds over which a new process extrapolates its requests to a whole window. */
 const minObservationMs = 1000;
 
 type Usage = {
 	readonly requests: SlidingWindowCounter;
 	readonly retries: SlidingWindowCounter;
-	/** Retries that can be sent at once. */
-	saved: number;
+	/**
+	 * Retries that can be sent at once; negative while a new process waits, undefined before the
+	 * first refill.
+	 */
+	saved: number | undefined;
 	/** Monotonic milliseconds of the last refill. */
 	refilledAt: number;
 };
@@ -69,7 +77,6 @@
 export function createLocalRetryBudget(options: LocalRetryBudgetOptions): LocalRetryBudget {
 	const {startedAt, window} = options;
 	const usages = new Map<string, Usage>();
-	const refillFrom = startedAt + burstFraction * window;
 
 	function usageOf(service: string): Usage {
 		let usage = usages.get(service);
@@ -77,8 +84,8 @@
 			usage = {
 				requests: createSlidingWindowCounter({window, steps: requestSteps}),
 				retries: createSlidingWindowCounter({window}),
-				saved: 0,
-				refilledAt: refillFrom,
+				saved: undefined,
+				refilledAt: startedAt,
 			};
 			usages.set(service, usage);
 		}
@@ -93,11 +100,15 @@
 		return options.ratio * requestsPerWindow + options.reserve / Math.max(1, options.fleetSize());
 	}
 
-	function refill(usage: Usage, budget: number, now: number): void {
-		const elapsed = Math.min(window, Math.max(0, now - usage.refilledAt));
-		const saved = usage.saved + (elapsed / window) * budget;
-		usage.saved = Math.min(Math.max(minBurst, budget * burstFraction), saved);
-		usage.refilledAt = Math.max(usage.refilledAt, now);
+	/** Returns the number of retries that can be sent at once. */
+	function refill(usage: Usage, budget: number, now: number): number {
+		const maxSaved = Math.max(minBurst, budget * burstFraction);
+		// An earlier process may have spent as much just before this one started.
+		const before = usage.saved ?? -Math.min(maxSaved, budget);
+		const elapsed = Math.min(maxRefillWindows * window, now - usage.refilledAt);
+		usage.saved = Math.min(maxSaved, before + (elapsed / window) * budget);
+		usage.refilledAt = now;
+		return usage.saved;
 	}
 
 	return {
@@ -107,12 +118,12 @@
 		take(service, now) {
 			const usage = usageOf(service);
 			const budget = budgetOf(usage, now);
-			refill(usage, budget, now);
-			if (usage.saved < 1 || usage.retries.total(now) + 1 > budget) {
+			const saved = refill(usage, budget, now);
+			if (saved < 1 || usage.retries.total(now) + 1 > budget) {
 				return false;
 			}
 
-			usage.saved--;
+			usage.saved = saved - 1;
 			usage.retries.add(1, now);
 			return true;
 		},
