Take back the mend of the rates in a partition

What callers saw with it: requests of workspaces were refused more often in fleets that are not partitioned.

The retry budget does not depend on it and stays.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -165,8 +165,7 @@
 		bound: options.rateBound,
 		startedAt,
 		reachableRatio: () => fleet.roster.reachableRatio(clock.monotonic()),
-		isReachable: member => fleet.roster.isReachable(member, clock.monotonic()),
-		fleetSize: () => fleet.roster.reachableCount(clock.monotonic()),
+		fleetSize: () => fleet.roster.activeCount(clock.monotonic()),
 		random,
 	});
 	const crashes = createCrashHistory();
@@ -203,8 +202,8 @@
 		}),
 		onTargets: routing.merge,
 		onLoad: routing.recordLoad,
-		onUsage({address}, usages, now) {
-			rateLimiter.recordReport(address, usages, now);
+		onUsage({workspace, ...usage}, now) {
+			rateLimiter.recordUsage(workspace, usage, now);
 		},
 		onCrashes: crashes.merge,
 		onClearedRequests: crashes.mergeCleared,
--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -38,14 +38,10 @@
 	/** Called with the requests that another member of this failure domain has in flight. */
 	readonly onLoad: (from: Member, inFlight: readonly TargetLoad[], now: number) => void;
 	/**
-	 * Called for each report of a member, with the numbers of requests that it received and admitted
-	 * since its last report, by workspace; empty if there were none.
+	 * Called for each workspace with the numbers of requests that a member received and admitted
+	 * since its last report.
 	 */
-	readonly onUsage: (
-		from: Member,
-		usages: ReadonlyArray<Omit<WorkspaceUsageTotal, 'before'>>,
-		now: number,
-	) => void;
+	readonly onUsage: (usage: Omit<WorkspaceUsageTotal, 'before'>, now: number) => void;
 	readonly onCrashes: (crashes: readonly TargetCrash[], now: number) => void;
 	/** Called with the fingerprints of requests that are no longer suspected. */
 	readonly onClearedRequests: (fingerprints: readonly string[], now: number) => void;
@@ -119,7 +115,6 @@
 			totals.set(from.address, known);
 		}
 
-		const usages = [];
 		for (const total of workspaces) {
 			const {workspace} = total;
 			// The first total received may cover the whole lifetime of the sender; only the requests
@@ -132,14 +127,11 @@
 
 			known.byWorkspace.set(workspace, total);
 			const asked = total.asked - before.asked;
-			usages.push({workspace, asked, admitted: total.admitted - before.admitted});
+			options.onUsage({workspace, asked, admitted: total.admitted - before.admitted}, now);
 		}
-
-		options.onUsage(from, usages, now);
 	}
 
 	function handleReport(report: FleetReport, now: number): void {
-		roster.recordReportFrom(report.from, now);
 		if (report.isRelayed) {
 			schedule.relay(report);
 		}
--- a/packages/policy-fleet/src/fleet-roster.ts
+++ b/packages/policy-fleet/src/fleet-roster.ts
@@ -15,8 +15,6 @@
 export type FleetRoster = {
 	/** Records that a message from the member was received. */
 	recordMessageFrom(member: Member, now: number): void;
-	/** Records in addition that the message was a report, which tells how often the member reports. */
-	recordReportFrom(member: Member, now: number): void;
 	/**
 	 * Records that another member named `member` in a roster answer. Has no effect if this process at
 	 * its address, or a later one, is known already or has announced its stop.
@@ -45,17 +43,10 @@
 	 */
 	position(): number;
 	/**
-	 * Fraction of the known members, including this instance, that are reachable; 0 to 1. Determined
-	 * anew at most once in `reachabilityInterval`, so that a request does not loop over all members.
+	 * Fraction of the known members, including this instance, from which a message arrived within
+	 * `reachableTimeout`; 0 to 1.
 	 */
 	reachableRatio(now: number): number;
-	/** Number of reachable members, including this instance; as old as `reachableRatio`. */
-	reachableCount(now: number): number;
-	/**
-	 * False if the known member at the address, or its whole failure domain, has been silent for
-	 * longer than the intervals of its reports let expect. As old as `reachableRatio`.
-	 */
-	isReachable(address: string, now: number): boolean;
 	/** Removes the members from which no message arrived for `retention`. */
 	removeSilent(now: number): void;
 };
@@ -63,40 +54,12 @@
 /** Milliseconds without a message after which a member no longer counts as active. */
 const activeTimeout = 4000;
 /**
- * Milliseconds without a message after which a member no longer counts as reachable, however rarely
- * it reports. Limits that the fleet shares depend on the reachable part of the fleet: a part that is
+ * Milliseconds without a message after which a member no longer counts as reachable in
+ * `reachableRatio`. Limits that the fleet shares depend on this ratio: a part of the fleet that is
  * cut off from the others must notice the partition soon. Every member sends a report at least
  * every 2 s, directly or through a relay.
  */
-const maxReachableTimeout = 2600;
-/**
- * A member that reports more often counts as unreachable after this number of its mean intervals,
- * and after `minReachableTimeout` milliseconds at the earliest, because a process that is killed is
- * back within little more than a second.
- */
-const reachableIntervals = 2.5;
-const minReachableTimeout = 1250;
-/**
- * All members of a failure domain, if it has at least `minDomainMembers`, count as unreachable when
- * none of them is heard for this number of their mean intervals. That is noticed sooner than the
- * silence of one member, and a failure domain is what partitions usually cut off. More than one
- * interval is needed because members that started together report at the same moments.
- */
-const domainIntervals = 1.5;
-const minDomainMembers = 3;
-/** Milliseconds; reports to other failure domains are up to 300 ms late at their relays. */
-const minDomainTimeout = 700;
-/**
- * Milliseconds between two reports of a member as they are at least assumed. Failures make a member
- * report more often for a short time, after which its usual interval is no silence.
- */
-const minReportInterval = 400;
-/** Assumed mean milliseconds between two reports of a new member, as if it had no requests. */
-const initialReportInterval = 2000;
-/** Weight of the latest interval in the mean. */
-const intervalWeight = 0.2;
-/** Milliseconds for which the reachable members are not determined anew. */
-const reachabilityInterval = 50;
+const reachableTimeout = 2600;
 /**
  * Milliseconds after which a silent member is removed. Until then `size` and `reachableRatio` still
  * count it as part of the fleet, because it may be serving on the other side of a network
@@ -112,28 +75,7 @@
  */
 const maxMessageDelay = 1500;
 
-type Contact = {readonly member: Member; readonly lastContactAt: number};
-
-type Entry = Contact & {
-	/** Time of the last report; undefined before the first one. */
-	readonly lastReportAt: number | undefined;
-	/** Mean milliseconds between two reports of the member. */
-	readonly reportInterval: number;
-};
-
-/** What is known of the members of one failure domain that were heard lately. */
-type DomainContact = {lastContactAt: number; members: number; reportIntervals: number};
-
-function reachableTimeoutOf({reportInterval}: Entry): number {
-	const timeout = reportInterval * reachableIntervals;
-	return Math.min(maxReachableTimeout, Math.max(minReachableTimeout, timeout));
-}
-
-function isDomainSilent(domain: DomainContact, now: number): boolean {
-	const meanInterval = domain.reportIntervals / domain.members;
-	const timeout = Math.max(minDomainTimeout, meanInterval * domainIntervals);
-	return domain.members >= minDomainMembers && now - domain.lastContactAt > timeout;
-}
+type Entry = {member: Member; lastContactAt: number};
 
 export function createFleetRoster({self, onJoined, onLeft}: FleetRosterOptions): FleetRoster {
 	const entries = new Map<string, Entry>();
@@ -141,10 +83,8 @@
 	 * Members that announced their stop. Late messages from them, or mentions by others, must not add
 	 * them again.
 	 */
-	const stopped = new Map<string, Contact>();
+	const stopped = new Map<string, Entry>();
 	let peakSize = 1;
-	let unreachable: ReadonlySet<string> = new Set();
-	let reachabilityCheckedAt = Number.NEGATIVE_INFINITY;
 
 	/** Whether a message of the member was delayed: a later process at its address is known. */
 	function isSuperseded(member: Member, now: number): boolean {
@@ -172,29 +112,14 @@
 	}
 
 	function addOrUpdate(member: Member, now: number): void {
-		const known = entries.get(member.address);
-		entries.set(member.address, {
-			member,
-			lastContactAt: now,
-			lastReportAt: known?.lastReportAt,
-			reportInterval: known?.reportInterval ?? initialReportInterval,
-		});
+		const known = entries.get(member.address)?.member;
+		entries.set(member.address, {member, lastContactAt: now});
 		peakSize = Math.max(peakSize, entries.size + 1);
-		if (known?.member.startedAt !== member.startedAt) {
+		if (known?.startedAt !== member.startedAt) {
 			onJoined?.(member);
 		}
 	}
 
-	function nextReportInterval({lastReportAt, reportInterval}: Entry, now: number): number {
-		if (lastReportAt === undefined) {
-			return reportInterval;
-		}
-
-		const gap = Math.min(maxReachableTimeout, now - lastReportAt);
-		const latest = Math.max(minReportInterval, gap);
-		return reportInterval + (latest - reportInterval) * intervalWeight;
-	}
-
 	function removeEntry(address: string, reason: 'stopped' | 'silent'): void {
 		const known = entries.get(address);
 		if (known !== undefined) {
@@ -203,67 +128,19 @@
 		}
 	}
 
-	function isActive(entry: Entry, now: number): boolean {
-		return now - entry.lastContactAt < activeTimeout;
+	function isActive(entry: Entry, now: number, timeout = activeTimeout): boolean {
+		return now - entry.lastContactAt < timeout;
 	}
 
-	function countActive(now: number): number {
+	function countActive(now: number, timeout = activeTimeout): number {
 		let count = 1;
 		for (const entry of entries.values()) {
-			count += Number(isActive(entry, now));
+			count += Number(isActive(entry, now, timeout));
 		}
 
 		return count;
 	}
 
-	function domainContacts(now: number): Map<string, DomainContact> {
-		const contacts = new Map<string, DomainContact>();
-		for (const {member, lastContactAt, reportInterval} of entries.values()) {
-			if (now - lastContactAt >= maxReachableTimeout) {
-				// Members that went silent earlier do not say how often the domain reports.
-				continue;
-			}
-
-			const known = contacts.get(member.failureDomain);
-			contacts.set(member.failureDomain, {
-				lastContactAt: Math.max(lastContactAt, known?.lastContactAt ?? lastContactAt),
-				members: (known?.members ?? 0) + 1,
-				reportIntervals: (known?.reportIntervals ?? 0) + reportInterval,
-			});
-		}
-
-		return contacts;
-	}
-
-	function findUnreachable(now: number): Set<string> {
-		const domains = domainContacts(now);
-		const silent = new Set<string>();
-		for (const [address, entry] of entries) {
-			const domain = domains.get(entry.member.failureDomain);
-			const isSilent = now - entry.lastContactAt >= reachableTimeoutOf(entry);
-			if (isSilent || domain === undefined || isDomainSilent(domain, now)) {
-				silent.add(address);
-			}
-		}
-
-		return silent;
-	}
-
-	/** Addresses of the members that are not reachable; loops over all members when it is due. */
-	function unreachableMembers(now: number): ReadonlySet<string> {
-		if (now - reachabilityCheckedAt >= reachabilityInterval) {
-			reachabilityCheckedAt = now;
-			unreachable = findUnreachable(now);
-		}
-
-		return unreachable;
-	}
-
-	function reachableCount(now: number): number {
-		// A member may have been removed since the last look.
-		return Math.max(1, entries.size + 1 - unreachableMembers(now).size);
-	}
-
 	return {
 		recordMessageFrom(member, now) {
 			const isDelayed = isSuperseded(member, now) || isDelayedAfterStop(member, now);
@@ -271,13 +148,6 @@
 				addOrUpdate(member, now);
 			}
 		},
-		recordReportFrom({address}, now) {
-			const known = entries.get(address);
-			if (known !== undefined) {
-				const reportInterval = nextReportInterval(known, now);
-				entries.set(address, {...known, lastReportAt: now, reportInterval});
-			}
-		},
 		recordMentionOf(member, now) {
 			const known = entries.get(member.address)?.member;
 			const isNew = known === undefined || member.startedAt > known.startedAt;
@@ -337,9 +207,7 @@
 
 			return before / (entries.size + 1);
 		},
-		reachableRatio: now => Math.min(1, reachableCount(now) / (entries.size + 1)),
-		reachableCount,
-		isReachable: (address, now) => !unreachableMembers(now).has(address),
+		reachableRatio: now => countActive(now, reachableTimeout) / (entries.size + 1),
 		removeSilent(now) {
 			for (const [address, entry] of entries) {
 				if (now - entry.lastContactAt > retention) {
--- a/packages/policy-routing/src/sliding-window-counter.ts
+++ b/packages/policy-routing/src/sliding-window-counter.ts
@@ -4,11 +4,8 @@
  */
 export type SlidingWindowCounter = {
 	add(amount: number, now: number): void;
-	/**
-	 * Events of the last `span` milliseconds, or of up to one step more; by default, and at most, of
-	 * the whole window.
-	 */
-	total(now: number, span?: number): number;
+	/** Events of the last `window` milliseconds, or of up to one step more. */
+	total(now: number): number;
 };
 
 export type SlidingWindowCounterOptions = {
@@ -48,15 +45,9 @@
 			advance(now);
 			counts[newestStep % counts.length]! += amount;
 		},
-		total(now, span = window) {
+		total(now) {
 			advance(now);
-			const lastSteps = Math.min(counts.length, Math.ceil(span / stepLength) + 1);
-			let sum = 0;
-			for (let index = 0; index < lastSteps; index++) {
-				sum += counts[(newestStep + counts.length - index) % counts.length]!;
-			}
-
-			return sum;
+			return counts.reduce((sum, count) => sum + count, 0);
 		},
 	};
 }
--- a/packages/policy-routing/src/workspace-rate-limiter.ts
+++ b/packages/policy-routing/src/workspace-rate-limiter.ts
@@ -1,26 +1,18 @@
 /**
  * Limits the request rate of each workspace. Every instance keeps the token bucket of the whole
  * workspace and subtracts the requests that it admits itself and those that the other instances
- * admit. The bound is the number of requests that the fleet may admit in any span of `window`
- * milliseconds: `rate` times the span plus `burst`. The bucket is refilled evenly at the rate that
- * uses up the bound, so that a workspace above its rate is served evenly.
+ * report as admitted. The bound is the number of requests that the fleet may admit in any span of
+ * `window` milliseconds: `rate` times the span plus `burst`. The bucket is refilled evenly at the
+ * rate that uses up the bound, so that a workspace above its rate is served evenly.
  *
  * Guards against one workspace that sends many times its rate through all instances at once.
  * Reports arrive late, so an instance does not admit every request that finds a token: it estimates
  * the demand on the whole fleet and admits the fraction that lets the bucket become empty without
- * being overdrawn. Members are assumed to go on as they last reported, so the parts of a fleet that
- * cannot reach each other admit what they admitted before. An instance that finds a part of the
- * fleet unreachable uses the fraction of the bound that the rest of the fleet is of the whole,
- * multiplied by `partitionFactor`, and counts that from the last report of the lost members. Each
- * `now` is in milliseconds of the monotonic clock.
+ * being overdrawn. An instance that receives reports from only a part of the fleet uses the same
+ * part of the bound, multiplied by `partitionFactor`. Each `now` is in milliseconds of the
+ * monotonic clock.
  */
 import {type Random} from '@shallotpond/kernel/random';
-import {
-	createReportedUsageRates,
-	type ReportedUsageRates,
-	type UsageRateChange,
-	type WorkspaceUsage,
-} from './reported-usage-rates.js';
 import {createSlidingWindowCounter, type SlidingWindowCounter} from './sliding-window-counter.js';
 
 export type WorkspaceRateLimit = {
@@ -34,7 +26,7 @@
 	readonly isAdmitted: boolean;
 	/**
 	 * Tokens left in the bucket of the whole workspace after this request; negative if it is
-	 * overdrawn. For what other instances have not reported yet, their last rate is subtracted.
+	 * overdrawn. Admissions that other instances have not reported yet are not subtracted.
 	 */
 	readonly tokens: number;
 	/**
@@ -45,12 +37,15 @@
 
 export type WorkspaceRateLimiter = {
 	admit(workspace: string, rate: WorkspaceRateLimit, now: number): RateDecision;
-	/** Records the report of another instance, see `ReportedUsageRates`. */
-	readonly recordReport: ReportedUsageRates['record'];
+	/** Records what other instances received and admitted since their last report. */
+	recordUsage(workspace: string, usage: WorkspaceUsage, now: number): void;
 	/** What this instance received and admitted since it started, by workspace. */
 	readonly totals: ReadonlyMap<string, WorkspaceUsage>;
 };
 
+/** Numbers of requests: those received, and those of them that were admitted. */
+export type WorkspaceUsage = {readonly asked: number; readonly admitted: number};
+
 export type RateBound = {
 	/**
 	 * Milliseconds of the span in which at most `rate` times its length plus `burst` are admitted.
@@ -68,8 +63,6 @@
 	readonly startedAt: number;
 	/** Fraction of the fleet whose reports this instance receives, including itself, 0 to 1. */
 	readonly reachableRatio: () => number;
-	/** Whether the reports of this member are received. */
-	readonly isReachable: (member: string) => boolean;
 	/** Number of instances whose reports are received, including this one. */
 	readonly fleetSize: () => number;
 	readonly random: Random;
@@ -84,13 +77,6 @@
 const bucketFraction = 0.15;
 /** Maximum debt of the bucket after late reports, as a fraction of the bound. */
 const maxDebtFraction = 0.5;
-/** Maximum debt after members were found to be unreachable, as a fraction of the bound. */
-const maxPartitionDebtFraction = 1;
-/** Milliseconds for which the reachable part of the fleet is not determined anew. */
-const contactCheckIntervalMs = 50;
-/** Maximum time that passes before a partition is noticed, for which admissions are remembered. */
-const spentWindowMs = 3000;
-const spentSteps = 30;
 /** Time until the reports of what other instances admitted have arrived. */
 const reportDelayMs = 400;
 /**
@@ -132,16 +118,8 @@
 	tokens: number;
 	/** Monotonic milliseconds of the last refill. */
 	refilledAt: number;
-	/** The limit at the last request; undefined before the first one at this instance. */
-	rate: WorkspaceRateLimit | undefined;
-	/** The part of the bound that was usable at the last refill, 0 to 1. */
-	usableFraction: number;
-	maxDebtFraction: number;
-	/** Estimated requests per millisecond that the other instances receive and admit. */
-	othersAskedRate: number;
-	othersAdmittedRate: number;
-	/** Admissions of this instance and those that others reported. */
-	readonly spent: SlidingWindowCounter;
+	/** Requests received by this instance and, as reported, by the others. */
+	readonly asked: SlidingWindowCounter;
 	readonly ownAsked: SlidingWindowCounter;
 	readonly ownAdmitted: SlidingWindowCounter;
 };
@@ -153,15 +131,6 @@
 	const usages = new Map<string, Usage>();
 	const totals = new Map<string, WorkspaceUsage>();
 
-	const rates = createReportedUsageRates({
-		isReachable: options.isReachable,
-		onChange: changeOthersRates,
-	});
-	let usableFraction = 1;
-	/** Milliseconds for which the members that were lost last had been silent. */
-	let lostSilence = 0;
-	let contactCheckedAt = Number.NEGATIVE_INFINITY;
-
 	function usageOf(workspace: string): Usage {
 		let usage = usages.get(workspace);
 		if (usage === undefined) {
@@ -169,12 +138,7 @@
 				// An earlier process may have emptied the bucket just before this one started.
 				tokens: 0,
 				refilledAt: startedAt,
-				rate: undefined,
-				usableFraction,
-				maxDebtFraction,
-				othersAskedRate: 0,
-				othersAdmittedRate: 0,
-				spent: createSlidingWindowCounter({window: spentWindowMs, steps: spentSteps}),
+				asked: createSlidingWindowCounter({window: demandWindowMs}),
 				ownAsked: createSlidingWindowCounter({window: demandWindowMs}),
 				ownAdmitted: createSlidingWindowCounter({window: demandWindowMs}),
 			};
@@ -184,62 +148,17 @@
 		return usage;
 	}
 
-	function limitOf(rate: WorkspaceRateLimit, fraction: number): number {
-		return ((rate.rate * bound.window) / millisecondsPerSecond + rate.burst) * fraction;
-	}
-
-	/** Refills the bucket, and subtracts what the others are assumed to have admitted meanwhile. */
-	function refill(usage: Usage, now: number): void {
-		if (usage.rate === undefined) {
-			return;
-		}
-
-		const elapsed = now - usage.refilledAt;
-		usage.refilledAt = now;
-		const limit = limitOf(usage.rate, usage.usableFraction);
-		const minTokens = -limit * usage.maxDebtFraction;
+	/** Refills the bucket and returns the refill rate in requests per millisecond. */
+	function refill(usage: Usage, rate: WorkspaceRateLimit, now: number): number {
+		const usableFraction = Math.min(1, options.reachableRatio() * partitionFactor);
+		const limit =
+			((rate.rate * bound.window) / millisecondsPerSecond + rate.burst) * usableFraction;
+		const refillRate = limit / bound.window;
 		const tokens =
-			Math.max(usage.tokens, minTokens) +
-			elapsed * (limit / bound.window - usage.othersAdmittedRate);
+			Math.max(usage.tokens, -limit * maxDebtFraction) + (now - usage.refilledAt) * refillRate;
 		usage.tokens = Math.min(Math.max(1, limit * bucketFraction), tokens);
-		if (usage.tokens >= 0) {
-			usage.maxDebtFraction = maxDebtFraction;
-		}
-	}
-
-	/**
-	 * Takes over the usable part of the bound. If it became smaller, the bucket gets the tokens that
-	 * it would have if the part had been that small since the lost members fell silent: several parts
-	 * of a fleet would otherwise use up the same tokens.
-	 */
-	function applyUsableFraction(usage: Usage, now: number): void {
-		if (usage.usableFraction > usableFraction) {
-			const spent = usage.spent.total(now, Math.min(lostSilence, spentWindowMs));
-			const keptFraction = usableFraction / usage.usableFraction;
-			usage.tokens = (usage.tokens + spent) * keptFraction - spent;
-			usage.maxDebtFraction = maxPartitionDebtFraction;
-		}
-
-		usage.usableFraction = usableFraction;
-	}
-
-	function changeOthersRates(workspace: string, change: UsageRateChange, now: number): void {
-		const usage = usageOf(workspace);
-		refill(usage, now);
-		usage.othersAskedRate = Math.max(0, usage.othersAskedRate + change.askedRate);
-		usage.othersAdmittedRate = Math.max(0, usage.othersAdmittedRate + change.admittedRate);
-		usage.tokens += change.assumed - change.reported;
-		usage.spent.add(change.reported, now);
-	}
-
-	function checkContact(now: number): void {
-		if (now - contactCheckedAt < contactCheckIntervalMs) {
-			return;
-		}
-
-		contactCheckedAt = now;
-		lostSilence = rates.removeUnreachable(now) ?? lostSilence;
-		usableFraction = Math.min(1, options.reachableRatio() * partitionFactor);
+		usage.refilledAt = now;
+		return refillRate;
 	}
 
 	/**
@@ -248,10 +167,7 @@
 	function demandOf(usage: Usage, now: number): number {
 		const own = usage.ownAsked.total(now);
 		const ownLowerBound = own - demandDeviations * Math.sqrt(own);
-		return Math.max(
-			own / demandWindowMs + usage.othersAskedRate,
-			(ownLowerBound * options.fleetSize()) / demandWindowMs,
-		);
+		return Math.max(usage.asked.total(now), ownLowerBound * options.fleetSize()) / demandWindowMs;
 	}
 
 	/** Whether a new instance has used up its part of the refill rate. */
@@ -266,7 +182,7 @@
 	}
 
 	function countOwnRequest(workspace: string, usage: Usage, admitted: number, now: number): void {
-		usage.spent.add(admitted, now);
+		usage.asked.add(1, now);
 		usage.ownAsked.add(1, now);
 		usage.ownAdmitted.add(admitted, now);
 		const total = totals.get(workspace);
@@ -278,20 +194,8 @@
 
 	return {
 		admit(workspace, rate, now) {
-			checkContact(now);
 			const usage = usageOf(workspace);
-			if (usage.rate === undefined) {
-				// What was reported before the first request at this instance is known from the rates.
-				usage.rate = rate;
-				usage.tokens = 0;
-				refill(usage, now);
-				usage.tokens = Math.max(0, usage.tokens);
-			}
-
-			refill(usage, now);
-			usage.rate = rate;
-			applyUsableFraction(usage, now);
-			const refillRate = limitOf(rate, usableFraction) / bound.window;
+			const refillRate = refill(usage, rate, now);
 			const admissionRate = refillRate + usage.tokens / drainTimeMs;
 			const isAdmitted =
 				admissionRate > 0 &&
@@ -302,7 +206,11 @@
 			const retryAfter = 1 / Math.max(refillRate, minRefillRate) + random() * retryJitterMs;
 			return {isAdmitted, tokens: usage.tokens, retryAfter};
 		},
-		recordReport: rates.record,
+		recordUsage(workspace, {asked, admitted}, now) {
+			const usage = usageOf(workspace);
+			usage.asked.add(asked, now);
+			usage.tokens -= admitted;
+		},
 		totals,
 	};
 }
