Count events in windows once, and record why targets are cold once

Two new tests had the same loop over a sliding window, and two cases of cold-targets the same log; testkit max-in-window and one function of the test serve both. The model no longer counts requests, which nothing read.

--- a/packages/gateway/src/__tests__/cold-targets.test.ts
+++ b/packages/gateway/src/__tests__/cold-targets.test.ts
@@ -4,6 +4,7 @@
  * against the opposite, a fleet that leaves cold targets unused although no other target is left.
  */
 import {describe, expect, test} from '@jest/globals';
+import {countMaxInWindow} from '@shallotpond/testkit/max-in-window';
 import {simulateFleet, type FleetModelOptions, type ModelTarget} from './fleet-model.js';
 
 const failureDomains = ['north', 'south', 'hall', 'port'];
@@ -43,19 +44,23 @@
 		}
 	}
 
-	let worst = 0;
-	for (const times of arrivals.values()) {
-		let first = 0;
-		for (const [index, at] of times.entries()) {
-			while (at - times[first]! >= 1000) {
-				first++;
-			}
-
-			worst = Math.max(worst, index - first + 1);
-		}
-	}
+	return Math.max(0, ...[...arrivals.values()].map(times => countMaxInWindow(times, 1000)));
+}
 
-	return worst;
+/** Runs the simulation and returns why targets were taken for cold. */
+function simulateColdReasons(options: Parameters<typeof simulate>[0]): unknown[] {
+	const reasons: unknown[] = [];
+	simulate({
+		...options,
+		log: {
+			write(event, fields) {
+				if (event === 'target-cold') {
+					reasons.push(fields?.reason);
+				}
+			},
+		},
+	});
+	return reasons;
 }
 
 function simulate(options: Partial<FleetModelOptions> & Pick<FleetModelOptions, 'targets'>) {
@@ -172,7 +177,6 @@
 	);
 
 	test('a target that some instances cannot reach is not taken for cold by the whole fleet', () => {
-		const reasons: unknown[] = [];
 		const targets = createTargets({
 			count: 8,
 			create: () => ({
@@ -182,18 +186,11 @@
 						: {result: 'ok', latency: 150},
 			}),
 		});
-		simulate({
+		const reasons = simulateColdReasons({
 			targets,
 			instancesPerDomain: 9,
 			rate: 60,
 			maxAttempts: 3,
-			log: {
-				write(event, fields) {
-					if (event === 'target-cold') {
-						reasons.push(fields?.reason);
-					}
-				},
-			},
 		});
 		expect(reasons).not.toContain('out-of-reach');
 		expect(reasons).toContain('connection-failed');
@@ -202,11 +199,9 @@
 	test.each(seeds)('a cut between two domains does not make targets cold (seed %i)', seed => {
 		const isCut = (from: string, to: string, now: number) => {
 			const ends = new Set([from, to].map(name => name.split('-')[0]));
-
 			return now >= 3000 && now < 8000 && ends.has('north') && ends.has('south');
 		};
 
-		const reasons: unknown[] = [];
 		const targets = createTargets({
 			count: 40,
 			create: index => ({
@@ -216,20 +211,13 @@
 						: {result: 'ok', latency: 150},
 			}),
 		});
-		simulate({
+		const reasons = simulateColdReasons({
 			targets,
 			instancesPerDomain: 9,
 			rate: 100,
 			maxAttempts: 3,
 			isCut,
 			seed,
-			log: {
-				write(event, fields) {
-					if (event === 'target-cold') {
-						reasons.push(fields?.reason);
-					}
-				},
-			},
 		});
 		expect(reasons).not.toContain('out-of-reach');
 		expect(reasons).toContain('connection-failed');
--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -67,8 +67,6 @@
 };
 
 export type FleetModelResult = {
-	/** Number of requests of callers. */
-	readonly requests: number;
 	readonly attempts: readonly Attempt[];
 	readonly samples: readonly TargetsInUseSample[];
 };
@@ -275,7 +273,6 @@
 
 	const rateAt = (now: number) =>
 		typeof options.rate === 'number' ? options.rate : options.rate(now);
-	let requests = 0;
 	let nextRequestAt = 0;
 	for (let now = 0; now < options.duration; now += step) {
 		clock.advance(step);
@@ -290,7 +287,6 @@
 		}
 
 		for (; nextRequestAt <= now; nextRequestAt -= (Math.log(1 - random()) / rateAt(now)) * 1000) {
-			requests++;
 			request(instances[Math.floor(random() * instances.length)]!);
 		}
 
@@ -310,5 +306,5 @@
 		}
 	}
 
-	return {requests, attempts, samples};
+	return {attempts, samples};
 }
--- a/packages/policy-routing/src/__tests__/cold-target-permits.test.ts
+++ b/packages/policy-routing/src/__tests__/cold-target-permits.test.ts
@@ -4,6 +4,7 @@
  * any size. Also guards against permits that one instance, or a small fleet, cannot use.
  */
 import {describe, expect, test} from '@jest/globals';
+import {countMaxInWindow} from '@shallotpond/testkit/max-in-window';
 import {createColdTargetPermits, type ColdTargetPermits} from '../cold-target-permits.js';
 import {type KnownTarget} from '../target-directory.js';
 
@@ -68,19 +69,7 @@
 	return times;
 }
 
-function worstSecond(times: readonly number[]): number {
-	let worst = 0;
-	let first = 0;
-	for (const [index, at] of times.entries()) {
-		while (at - times[first]! >= 1000) {
-			first++;
-		}
-
-		worst = Math.max(worst, index - first + 1);
-	}
-
-	return worst;
-}
+const worstSecond = (times: readonly number[]) => countMaxInWindow(times, 1000);
 
 describe.each(deployments)('permits of $instances instances', deployment => {
 	const {coldRate, bound} = deployment;
