--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -49,6 +49,7 @@
 	type TargetLoad,
 	type TargetReport,
 } from '@shallotpond/policy-fleet/fleet-message';
+import {createEstimatedTargetLoads} from '@shallotpond/policy-routing/estimated-target-loads';
 import {createReportedTargetLoads} from '@shallotpond/policy-routing/reported-target-loads';
 import {type CurrentConfiguration} from './current-configuration.js';
 
@@ -168,11 +169,17 @@
 	return route.latencyObjective ?? route.timeout / 2;
 }
 
+/** Whether another attempt may follow the one for which the target is chosen. */
+function mayBeRepeated({isIdempotent, excludedTargets, route}: SlotRequest): boolean {
+	return isIdempotent && excludedTargets.length + 1 < (route.attempts ?? Number.POSITIVE_INFINITY);
+}
+
 export function createRoutingService(options: RoutingServiceOptions): RoutingService {
 	const {clock, random, log, configuration, directory, evidence} = options;
 	/** Requests of this instance that are currently at a target, by incarnation. */
 	const inFlight = new Map<string, number>();
 	const reportedLoads = createReportedTargetLoads();
+	const estimatedLoads = createEstimatedTargetLoads();
 	/** Monotonic milliseconds of the last successful attempt, by incarnation. */
 	const servedAt = new Map<string, number>();
 	const connectionReuse = createConnectionReusePolicy();
@@ -278,6 +285,7 @@
 		random,
 		conditionOf: (target, now) => evidence.conditionOf(target.incarnation, target.service, now),
 		inFlight: loadAt,
+		fleetLoad: ({incarnation}, now) => estimatedLoads.requestsAt(incarnation, now),
 		unusedFor: idleTimes.unusedFor,
 		hasConnection: ({incarnation}, now) =>
 			!inFlight.has(incarnation) &&
@@ -445,6 +453,7 @@
 		);
 		if (outcomeClass === 'good') {
 			servedAt.set(target.incarnation, now);
+			estimatedLoads.add(target.incarnation, latency, now);
 		}
 
 		if (outcomeClass === 'bad') {
@@ -581,6 +590,7 @@
 				candidates: candidates.length,
 				risk: roundForLog(failureRisk),
 				load: loadAt(target, now),
+				fleetLoad: roundForLog(estimatedLoads.requestsAt(target.incarnation, now)),
 				unusedFor: Math.round(unusedFor),
 				listedFor: Math.round(now - target.listedAt),
 				...describeColdBound(target, candidates, now),
@@ -610,7 +620,7 @@
 				service: request.service,
 				candidates,
 				excluded: request.excludedTargets,
-				isIdempotent: request.isIdempotent,
+				isRepeatable: mayBeRepeated(request),
 				responseBytes:
 					responseBytesByKind[request.route.isDownload === true ? 'download' : 'other'],
 				floor: floorOf(request.service, candidates.length, now),
@@ -650,6 +660,7 @@
 
 				idleTimes.recordUse(incarnation, now);
 				evidence.merge(incarnation, target.service, counts, now);
+				estimatedLoads.add(incarnation, counts.latency, now);
 				countRequests(target.service, outcomes, now);
 				logSuspicionChange(target, now);
 				if (counts.good + counts.busy > 0) {
@@ -688,6 +699,7 @@
 			idleTimes.prune(now);
 			notices.prune(now);
 			coldPermits.prune(now);
+			estimatedLoads.prune(now);
 			outages.prune(now);
 			forgetUnidentifiedTargets(now);
 			for (const incarnation of suspectedTargets) {
--- a/packages/policy-routing/src/__tests__/reported-target-loads.test.ts
+++ b/packages/policy-routing/src/__tests__/reported-target-loads.test.ts
@@ -69,6 +69,7 @@
 		const selector = createTargetSelector({
 			failureDomain: 'north',
 			conditionOf: () => ({failureRisk: 0.03, slowness: 1, busyness: 0, isUnreachable: false}),
+			fleetLoad: () => 0,
 			inFlight: ({incarnation}) =>
 				(own.get(incarnation) ?? 0) + reportedLoads[from]!.requestsAt(incarnation, now),
 			unusedFor: () => 0,
--- a/packages/policy-routing/src/__tests__/target-selector.test.ts
+++ b/packages/policy-routing/src/__tests__/target-selector.test.ts
@@ -38,6 +38,7 @@
 		failureDomain: 'near',
 		conditionOf: () => healthy,
 		inFlight: () => 0,
+		fleetLoad: () => 0,
 		unusedFor: () => 0,
 		hasConnection: () => false,
 		isInActiveDomain: () => true,
@@ -51,7 +52,7 @@
 			service: 'roster',
 			candidates,
 			excluded: [],
-			isIdempotent: false,
+			isRepeatable: false,
 			responseBytes: 2000,
 			floor,
 			now: 1000,
@@ -151,4 +152,49 @@
 		});
 		expect(counts).toEqual({in: 1000});
 	});
+
+	test('many targets in other domains do not draw more requests than one of them does', () => {
+		const candidates = [
+			...Array.from({length: 8}, (_, index) => target(`near-${index}`)),
+			...Array.from({length: 24}, (_, index) => target(`far-${index}`, {}, 'far')),
+		];
+		const counts = countSelections(candidates);
+		const far = Object.entries(counts).filter(([id]) => id.startsWith('far'));
+		// Each of them weighs exp(-0.0596 / 0.03) times one of this domain; there are three times as many.
+		expect(far.reduce((sum, [, count]) => sum + count, 0)).toBeLessThan(180);
+	});
+
+	test('targets in other domains do not look idle because their load is not reported', () => {
+		const candidates = [
+			...Array.from({length: 8}, (_, index) => target(`near-${index}`)),
+			...Array.from({length: 8}, (_, index) => target(`far-${index}`, {}, 'far')),
+		];
+		const counts = countSelections(candidates, {
+			inFlight: ({definition}) => (definition.failureDomain === 'near' ? 5 : 0),
+			fleetLoad: () => 5,
+		});
+		const far = Object.entries(counts).filter(([id]) => id.startsWith('far'));
+		expect(far.reduce((sum, [, count]) => sum + count, 0)).toBeLessThan(180);
+	});
+
+	test('a full domain sends requests to one with free slots', () => {
+		const candidates = [
+			...Array.from({length: 8}, (_, index) => target(`near-${index}`)),
+			...Array.from({length: 8}, (_, index) => target(`far-${index}`, {}, 'far')),
+		];
+		const counts = countSelections(candidates, {
+			inFlight: ({definition}) => (definition.failureDomain === 'near' ? 8 : 0),
+			fleetLoad: ({definition}) => (definition.failureDomain === 'near' ? 8 : 1),
+		});
+		const far = Object.entries(counts).filter(([id]) => id.startsWith('far'));
+		expect(far.reduce((sum, [, count]) => sum + count, 0)).toBeGreaterThan(900);
+	});
+
+	test('a target at which the fleet has more requests than elsewhere gets fewer', () => {
+		const counts = countSelections([target('crowded'), target('a'), target('b')], {
+			fleetLoad: ({definition}) => (definition.id === 'crowded' ? 10 : 2),
+		});
+		expect(counts.crowded).toBeLessThan(220);
+		expect(counts.crowded).toBeGreaterThan(50);
+	});
 });
--- a/packages/policy-routing/src/target-evidence.ts
+++ b/packages/policy-routing/src/target-evidence.ts
@@ -13,6 +13,7 @@
  * restarted target has no history. Each `now` is in milliseconds of the monotonic clock.
  */
 import {type AttemptResult} from '@shallotpond/kernel/attempt-outcome';
+import {createDecayingValue, decay, type DecayingValue} from './decaying-value.js';
 
 /**
  * `path` is a failure to connect, `busy` a rejection by the target; an `ignored` outcome says
@@ -112,21 +113,6 @@
 /** How long a target without outcomes is kept. */
 const retentionMs = 60_000;
 
-type DecayingValue = {value: number; at: number};
-
-function decay(decaying: DecayingValue, now: number, halfLife: number): number {
-	if (now > decaying.at) {
-		decaying.value *= 2 ** ((decaying.at - now) / halfLife);
-		decaying.at = now;
-	}
-
-	return decaying.value;
-}
-
-function createDecayingValue(now: number): DecayingValue {
-	return {value: 0, at: now};
-}
-
 type Latency = {readonly sum: DecayingValue; readonly count: DecayingValue};
 
 type Evidence = {
--- a/packages/policy-routing/src/target-selector.ts
+++ b/packages/policy-routing/src/target-selector.ts
@@ -28,7 +28,8 @@
 	readonly candidates: readonly KnownTarget[];
 	/** Ids of the targets that this request has already tried. */
 	readonly excluded: readonly string[];
-	readonly isIdempotent: boolean;
+	/** Whether another attempt may follow if this one fails. */
+	readonly isRepeatable: boolean;
 	/** Expected size of the response in bytes. */
 	readonly responseBytes: number;
 	/**
@@ -49,6 +50,8 @@
 	 * failure domain reported.
 	 */
 	readonly inFlight: (target: KnownTarget, now: number) => number;
+	/** Estimated mean number of requests that the whole fleet lately had at the target. */
+	readonly fleetLoad: (target: KnownTarget, now: number) => number;
 	/**
 	 * Milliseconds since any instance sent the target a request or since the target was listed,
 	 * whichever is later.
@@ -73,7 +76,7 @@
 
 /** Losses, relative to the value of one request. */
 const losses = {
-	/** For a failed attempt; if the request can be repeated, the failure costs only time. */
+	/** For a failed attempt; if another attempt may follow, the failure costs only time. */
 	failure: {repeatable: 0.6, once: 1.5},
 	/** Per megabyte that crosses to another failure domain. */
 	crossDomainMegabyte: 3,
@@ -94,6 +97,11 @@
 	occupied: 0.06,
 	/** Per request above the number of slots, divided by the number of slots. */
 	waiting: 0.3,
+	/**
+	 * Per request that the whole fleet lately had at the target. The estimate is up to a second old,
+	 * so with a higher loss the instances would all move between the same targets.
+	 */
+	fleetLoad: 0.004,
 	/** For opening a connection. */
 	connection: 0.015,
 	/**
@@ -103,6 +111,11 @@
 	otherDomain: 0.05,
 	unreachable: 3,
 } as const;
+/**
+ * Number of targets in the failure domain of this instance from which the targets of other domains
+ * lose weight. With fewer, the failures of a few targets would leave too little room in the domain.
+ */
+const minLocalTargets = 6;
 /** Bytes that the headers of request and response take on the wire. */
 const headerBytes = 1200;
 const bytesPerMegabyte = 1_000_000;
@@ -162,13 +175,44 @@
 export function createTargetSelector(options: TargetSelectorOptions): TargetSelector {
 	const {failureDomain, conditionOf, inFlight, random} = options;
 
-	function waitingLossOf(target: KnownTarget, now: number): number {
-		const load = (inFlight(target, now) + 1) / target.slots;
+	function isLocal({definition}: KnownTarget): boolean {
+		return definition.failureDomain === failureDomain;
+	}
+
+	/**
+	 * Factor for the weight of each target in another failure domain. All of them together weigh as
+	 * much as the targets of this domain; without it, the traffic between domains would grow with the
+	 * number of domains.
+	 */
+	function remoteWeightOf(targets: readonly KnownTarget[]): number {
+		const localCount = targets.filter(target => isLocal(target)).length;
+		const remoteCount = targets.length - localCount;
+		return localCount < minLocalTargets ? 1 : Math.min(1, localCount / remoteCount);
+	}
+
+	/**
+	 * Mean load of the targets of each other failure domain. The requests that the instances of that
+	 * domain have at a single target are not reported to this instance, which would take each target
+	 * there for idle.
+	 */
+	function meanLoadsOf(targets: readonly KnownTarget[], now: number): Map<string, number> {
+		const totals = new Map<string, {load: number; count: number}>();
+		for (const target of targets.filter(candidate => !isLocal(candidate))) {
+			const domain = target.definition.failureDomain;
+			const {load, count} = totals.get(domain) ?? {load: 0, count: 0};
+			totals.set(domain, {load: load + options.fleetLoad(target, now), count: count + 1});
+		}
+
+		return new Map([...totals].map(([domain, {load, count}]) => [domain, load / count]));
+	}
+
+	function waitingLossOf(target: KnownTarget, minLoad: number, now: number): number {
+		const load = (Math.max(inFlight(target, now), minLoad) + 1) / target.slots;
 		return load <= 1 ? load * losses.occupied : losses.occupied + (load - 1) * losses.waiting;
 	}
 
 	function crossDomainLossOf(target: KnownTarget, responseBytes: number): number {
-		if (target.definition.failureDomain === failureDomain) {
+		if (isLocal(target)) {
 			return 0;
 		}
 
@@ -184,7 +228,7 @@
 		condition: TargetCondition,
 		request: TargetSelectionRequest,
 	) {
-		const failureLoss = request.isIdempotent ? losses.failure.repeatable : losses.failure.once;
+		const failureLoss = request.isRepeatable ? losses.failure.repeatable : losses.failure.once;
 		return (
 			condition.failureRisk * failureLoss +
 			Math.max(0, condition.slowness - 1) * losses.slowness +
@@ -193,8 +237,13 @@
 		);
 	}
 
-	function createCandidate(target: KnownTarget, request: TargetSelectionRequest): Candidate {
+	function createCandidate(
+		target: KnownTarget,
+		request: TargetSelectionRequest,
+		meanLoads: ReadonlyMap<string, number>,
+	): Candidate {
 		const {now} = request;
+		const minLoad = meanLoads.get(target.definition.failureDomain) ?? 0;
 		const condition = conditionOf(target, now);
 		return {
 			target,
@@ -203,7 +252,8 @@
 			crossDomainLoss: crossDomainLossOf(target, request.responseBytes),
 			pathLoss:
 				(condition.isUnreachable ? losses.unreachable : 0) +
-				waitingLossOf(target, now) +
+				waitingLossOf(target, minLoad, now) +
+				options.fleetLoad(target, now) * losses.fleetLoad +
 				(options.hasConnection(target, now) ? 0 : losses.connection),
 		};
 	}
@@ -265,11 +315,16 @@
 				return undefined;
 			}
 
-			const candidates = targets.map(target => createCandidate(target, request));
+			const meanLoads = meanLoadsOf(targets, now);
+			const candidates = targets.map(target => createCandidate(target, request, meanLoads));
 			const needed = selectNeededForFloor(candidates, request.floor);
 			const targetLosses = candidates.map(candidate => lossOf(candidate, needed.has(candidate)));
 			const minLoss = Math.min(...targetLosses);
-			const weights = targetLosses.map(loss => Math.exp((minLoss - loss) / temperature));
+			const remoteWeight = remoteWeightOf(targets);
+			const weights = targetLosses.map(
+				(loss, index) =>
+					Math.exp((minLoss - loss) / temperature) * (isLocal(targets[index]!) ? 1 : remoteWeight),
+			);
 			return drawWeighted(targets, (_target, index) => weights[index]!, random) ?? targets.at(-1);
 		},
 	};
