--- a/packages/gateway/src/gateway-request-policy.ts
+++ b/packages/gateway/src/gateway-request-policy.ts
@@ -7,9 +7,11 @@
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type Random} from '@shallotpond/kernel/random';
 import {type EventLog} from '@shallotpond/observability/event-log';
+import {type Metrics} from '@shallotpond/observability/metrics';
 import {type RequestPolicy} from '@shallotpond/io-http/request-policy';
 import {type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
 import {type CrashHistory} from '@shallotpond/policy-routing/crash-history';
+import {rankOf} from '@shallotpond/policy-routing/rank-admission';
 import {drawRetryAfter} from '@shallotpond/policy-routing/retry-after';
 import {type LocalRetryBudget} from '@shallotpond/policy-routing/local-retry-budget';
 import {type TrafficSplit} from '@shallotpond/policy-routing/traffic-split';
@@ -32,6 +34,7 @@
 	readonly roster: FleetRoster;
 	readonly crashes: CrashHistory;
 	readonly log: EventLog;
+	readonly metrics: Metrics;
 };
 
 /** Rounds to the two decimal places that are useful in the log. */
@@ -39,8 +42,14 @@
 	return Math.round(value * 100) / 100;
 }
 
+/** Why a request of a workspace above its rate was admitted or refused, for the log. */
+function createRankBasis(rank: number, {probability}: RateDecision) {
+	return {rank, probability: roundForLog(probability)};
+}
+
 function createRateRefusal(
 	rate: WorkspaceRateLimit,
+	rank: number,
 	decision: RateDecision,
 	reachableRatio: number,
 ): Refusal {
@@ -55,6 +64,7 @@
 			rate: rate.rate,
 			tokens: roundForLog(decision.tokens),
 			contact: roundForLog(reachableRatio),
+			...createRankBasis(rank, decision),
 		},
 	};
 }
@@ -89,23 +99,32 @@
 		roster,
 		crashes,
 		log,
+		metrics,
 	} = options;
 	return {
 		tables: () => configuration.tables,
 		isIsolated: configuration.isUncertain,
 		chooseService: route => trafficSplit.choose(route),
 		isTargetUsable: target => routing.isUsable(target),
-		async admit({workspace}) {
+		async admit({workspace, route}) {
 			const rate = configuration.tables?.document.workspaces[workspace];
 			if (rate === undefined) {
 				return {kind: 'admitted'};
 			}
 
 			const now = clock.monotonic();
-			const decision = rateLimiter.admit(workspace, rate, now);
-			return decision.isAdmitted
-				? {kind: 'admitted'}
-				: createRateRefusal(rate, decision, roster.reachableRatio(now));
+			const rank = rankOf(route);
+			const decision = rateLimiter.admit(workspace, rate, now, rank);
+			const result = decision.isAdmitted ? 'admitted' : 'refused';
+			metrics.count('rate-decisions', 1, {rank: String(rank), result});
+			if (!decision.isAdmitted) {
+				return createRateRefusal(rate, rank, decision, roster.reachableRatio(now));
+			}
+
+			const isAboveRate = decision.probability < 1;
+			return isAboveRate
+				? {kind: 'admitted', basis: createRankBasis(rank, decision)}
+				: {kind: 'admitted'};
 		},
 		acquireSlot: async request => routing.acquire(request),
 		claimIdempotencyKey: async () => ({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -271,6 +271,7 @@
 		roster: fleet.roster,
 		crashes,
 		log,
+		metrics,
 	});
 	const callers = createCallerListener({
 		policy,
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -236,13 +236,14 @@
 		span: RequestSpan,
 	): Promise<Problem | undefined> {
 		const admissionSpan = span.startHop('admit');
-		const {workspace} = authorized;
+		const {workspace, route} = authorized;
 		const decision = await policy.admit({
 			workspace,
+			route,
 			deadline,
 			signal: received.cancellation.signal,
 		});
-		admissionSpan.end(decision.kind, decision.kind === 'refused' ? decision.basis : undefined);
+		admissionSpan.end(decision.kind, decision.basis);
 		return decision.kind === 'refused' ? problemFromRefusal(decision) : undefined;
 	}
 
--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -47,15 +47,22 @@
 
 export type AdmissionRequest = {
 	readonly workspace: string;
+	readonly route: RouteDefinition;
 	/** Monotonic milliseconds. */
 	readonly deadline: number;
 	/** Aborts when the caller disconnects, its key is withdrawn or a stop cancels the request. */
 	readonly signal: AbortSignalLike;
 };
 
+/** The request may go on. */
+export type Admission = {
+	readonly kind: 'admitted';
+	/** Values on which the decision was based, for logs and traces. */
+	readonly basis?: Readonly<Record<string, number>>;
+};
+
 export type SlotRequest = AdmissionRequest & {
 	readonly service: string;
-	readonly route: RouteDefinition;
 	readonly isIdempotent: boolean;
 	/** Targets that this request has tried, or whose grant it could not use. */
 	readonly excludedTargets: readonly string[];
@@ -118,7 +125,7 @@
 	/** Chooses one of the services of a route; default: the route's own service. */
 	chooseService?(route: RouteDefinition): string;
 	/** Takes one token from the workspace's rate limit; may wait for a short time. */
-	admit(request: AdmissionRequest): Promise<{readonly kind: 'admitted'} | Refusal>;
+	admit(request: AdmissionRequest): Promise<Admission | Refusal>;
 	/** Waits in the fair queue for a slot at a target. */
 	acquireSlot(request: SlotRequest): Promise<SlotGrant | Refusal>;
 	/** Claims an idempotency key for the first request that carries it. */
--- a/packages/policy-routing/src/workspace-rate-limiter.ts
+++ b/packages/policy-routing/src/workspace-rate-limiter.ts
@@ -9,10 +9,12 @@
  * Reports arrive late, so an instance does not admit every request that finds a token: it estimates
  * the demand on the whole fleet and admits the fraction that lets the bucket become empty without
  * being overdrawn. An instance that receives reports from only a part of the fleet uses the same
- * part of the bound, multiplied by `partitionFactor`. Each `now` is in milliseconds of the
- * monotonic clock.
+ * part of the bound, multiplied by `partitionFactor`. Which requests of a workspace above its rate
+ * are admitted depends on the priority of their routes, see `rank-admission.ts`. Each `now` is in
+ * milliseconds of the monotonic clock.
  */
 import {type Random} from '@shallotpond/kernel/random';
+import {createRankAdmission, leastUrgentRank, type RankDecision} from './rank-admission.js';
 import {createSlidingWindowCounter, type SlidingWindowCounter} from './sliding-window-counter.js';
 
 export type WorkspaceRateLimit = {
@@ -30,13 +32,20 @@
 	 */
 	readonly tokens: number;
 	/**
-	 * Milliseconds after which the caller should retry: the time to refill one token, plus jitter.
+	 * Milliseconds after which the caller should retry: the time to refill one token, plus jitter,
+	 * both longer for a rank that gets a smaller part of the tokens, up to four times as long.
 	 */
 	readonly retryAfter: number;
+	/** Probability with which a request of this rank is admitted now, 0 to 1. */
+	readonly probability: number;
 };
 
 export type WorkspaceRateLimiter = {
-	admit(workspace: string, rate: WorkspaceRateLimit, now: number): RateDecision;
+	/**
+	 * Decides on one request. `rank` is that of its route, from 0, the most urgent, to
+	 * `leastUrgentRank`, the default.
+	 */
+	admit(workspace: string, rate: WorkspaceRateLimit, now: number, rank?: number): RateDecision;
 	/** Records what other instances received and admitted since their last report. */
 	recordUsage(workspace: string, usage: WorkspaceUsage, now: number): void;
 	/** What this instance received and admitted since it started, by workspace. */
@@ -95,8 +104,8 @@
 /** Maximum jitter of the retry delay, so that refused callers do not all retry at once. */
 const retryJitterMs = 300;
 /**
- * Requests per millisecond; limits the retry delay of a workspace with a tiny rate to one second
- * plus jitter.
+ * Requests per millisecond; limits the retry delay of a workspace with a tiny rate, or of a rank
+ * that gets few tokens, to one second plus jitter.
  */
 const minRefillRate = 0.001;
 /**
@@ -112,6 +121,12 @@
  * refill rate is.
  */
 const minInitialAdmissions = 1;
+/**
+ * Number of admissions, as a fraction of the bound, that all instances together may take from less
+ * urgent requests and give to urgent ones later, so that at most as many are added to a window. A
+ * window without the begin of a flood has more than this left of `RateBound.excess`.
+ */
+const savedFraction = 0.1;
 const millisecondsPerSecond = 1000;
 
 type Usage = {
@@ -122,6 +137,12 @@
 	readonly asked: SlidingWindowCounter;
 	readonly ownAsked: SlidingWindowCounter;
 	readonly ownAdmitted: SlidingWindowCounter;
+	/** Sum of `RankDecision.savedChange` since the start of this instance. */
+	saved: number;
+	/** Requests that this instance has admitted since its start. */
+	admitted: number;
+	/** 0 to 1; drawn for the first saved admission. */
+	roundingOffset: number | undefined;
 };
 
 export function createWorkspaceRateLimiter(
@@ -130,6 +151,7 @@
 	const {bound, random, startedAt} = options;
 	const usages = new Map<string, Usage>();
 	const totals = new Map<string, WorkspaceUsage>();
+	const rankAdmission = createRankAdmission();
 
 	function usageOf(workspace: string): Usage {
 		let usage = usages.get(workspace);
@@ -141,6 +163,9 @@
 				asked: createSlidingWindowCounter({window: demandWindowMs}),
 				ownAsked: createSlidingWindowCounter({window: demandWindowMs}),
 				ownAdmitted: createSlidingWindowCounter({window: demandWindowMs}),
+				saved: 0,
+				admitted: 0,
+				roundingOffset: undefined,
 			};
 			usages.set(workspace, usage);
 		}
@@ -181,30 +206,61 @@
 		return usage.ownAdmitted.total(now) >= Math.max(minInitialAdmissions, initialPart);
 	}
 
+	/** Number of admissions that this instance may take from less urgent requests and give later. */
+	function maxSavedOf(refillRate: number): number {
+		const instances = Math.max(minAssumedInstances, options.fleetSize());
+		return (refillRate * bound.window * savedFraction) / instances;
+	}
+
 	function countOwnRequest(workspace: string, usage: Usage, admitted: number, now: number): void {
 		usage.asked.add(1, now);
 		usage.ownAsked.add(1, now);
 		usage.ownAdmitted.add(admitted, now);
-		const total = totals.get(workspace);
+		usage.admitted += admitted;
 		totals.set(workspace, {
-			asked: (total?.asked ?? 0) + 1,
-			admitted: (total?.admitted ?? 0) + admitted,
+			asked: (totals.get(workspace)?.asked ?? 0) + 1,
+			admitted: usage.admitted + roundSaved(usage),
 		});
 	}
 
+	/**
+	 * Saved admissions count as admitted at the other instances. Reports contain whole numbers, so an
+	 * instance rounds at a random fraction of its own; the sum over the fleet is right on average.
+	 */
+	function roundSaved(usage: Usage): number {
+		if (usage.saved === 0) {
+			return 0;
+		}
+
+		usage.roundingOffset ??= random();
+		return Math.floor(usage.saved + usage.roundingOffset);
+	}
+
 	return {
-		admit(workspace, rate, now) {
+		admit(workspace, rate, now, rank = leastUrgentRank) {
 			const usage = usageOf(workspace);
 			const refillRate = refill(usage, rate, now);
 			const admissionRate = refillRate + usage.tokens / drainTimeMs;
-			const isAdmitted =
-				admissionRate > 0 &&
-				!isInitialPartUsed(usage, refillRate, now) &&
-				random() * demandOf(usage, now) < admissionRate;
-			usage.tokens -= Number(isAdmitted);
+			rankAdmission.countRequest(workspace, rank, now);
+			let decision: RankDecision = {probability: 0, factor: 1, savedChange: 0};
+			let isAdmitted = false;
+			if (admissionRate > 0 && !isInitialPartUsed(usage, refillRate, now)) {
+				const demand = demandOf(usage, now);
+				const ratio = admissionRate / demand;
+				const maxSaved = maxSavedOf(refillRate);
+				decision = rankAdmission.decide({workspace, rank, ratio, maxSaved}, now);
+				isAdmitted = random() * demand < admissionRate * decision.factor;
+			}
+
+			usage.tokens -= Number(isAdmitted) + decision.savedChange;
+			usage.saved += decision.savedChange;
 			countOwnRequest(workspace, usage, Number(isAdmitted), now);
-			const retryAfter = 1 / Math.max(refillRate, minRefillRate) + random() * retryJitterMs;
-			return {isAdmitted, tokens: usage.tokens, retryAfter};
+			const {probability, factor} = decision;
+			const refillTime = 1 / Math.max(refillRate, minRefillRate);
+			const retryAfter =
+				Math.min(refillTime / factor, 1 / minRefillRate) +
+				random() * retryJitterMs * Math.max(1, 1 / factor);
+			return {isAdmitted, tokens: usage.tokens, retryAfter, probability};
 		},
 		recordUsage(workspace, {asked, admitted}, now) {
 			const usage = usageOf(workspace);
