--- a/packages/gateway/src/fleet-messaging-service.ts
+++ b/packages/gateway/src/fleet-messaging-service.ts
@@ -8,6 +8,7 @@
 import {createDatagramTransport} from '@shallotpond/io-fleet/datagram-transport';
 import {createFleetMember, type FleetMemberOptions} from '@shallotpond/policy-fleet/fleet-member';
 import {type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
+import {createTickSchedule, type UpdateKind} from '@shallotpond/policy-fleet/tick-schedule';
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {type EventLog} from '@shallotpond/observability/event-log';
 
@@ -36,20 +37,8 @@
 	readonly onSecond: (now: number) => void;
 };
 
-/** Interval of the regular ticks; urgent updates cause additional ones. */
+/** Interval of the regular ticks; failures and changes of the load cause additional ones. */
 const idleTickIntervalMs = 125;
-/**
- * Time for which urgent updates are collected, to be sent with one tick; a request takes several
- * times as long.
- */
-const updateDelayMs = 20;
-/**
- * Additional time to collect updates, for each other member of this failure domain above eight.
- * Every member receives the updates of all others in its domain, so the members of a large domain
- * collect updates for longer: an instance gets at most about 200 datagrams per second.
- */
-const updateDelayPerMemberMs = 6;
-const membersWithoutExtraDelay = 8;
 const millisecondsPerSecond = 1000;
 
 export function createFleetMessagingService(
@@ -57,8 +46,11 @@
 ): FleetMessagingService {
 	const {clock, metrics, log} = options;
 	const member = createFleetMember(options);
-	let isTickScheduled = false;
+	const ticks = createTickSchedule({
+		sameDomainMembers: () => member.roster.sameDomainMembers(clock.monotonic()).length,
+	});
 	let isStopped = false;
+	let cancelRequestedTick: (() => void) | undefined;
 	let cancelTicks: (() => void) | undefined;
 	let cancelSeconds: (() => void) | undefined;
 
@@ -68,7 +60,7 @@
 		onMessage(message) {
 			transport.send(member.receive(message, clock.monotonic()));
 			if (member.hasUrgentRelays) {
-				tickSoon();
+				requestTick('failure');
 			}
 		},
 		count(counter, amount) {
@@ -80,26 +72,23 @@
 	});
 
 	function flush(): void {
-		transport.send(member.tick(clock.monotonic()));
+		const now = clock.monotonic();
+		cancelRequestedTick?.();
+		cancelRequestedTick = undefined;
+		ticks.recordTick(now);
+		transport.send(member.tick(now));
 	}
 
-	/**
-	 * Schedules one tick for all updates of the next milliseconds, in addition to the regular ticks.
-	 */
-	function tickSoon(): void {
-		if (isTickScheduled) {
+	/** Requests a tick in addition to the regular ones. */
+	function requestTick(kind: UpdateKind): void {
+		const now = clock.monotonic();
+		const dueAt = ticks.requestTick(kind, now);
+		if (dueAt === undefined || isStopped) {
 			return;
 		}
 
-		isTickScheduled = true;
-		const memberCount = member.roster.sameDomainMembers(clock.monotonic()).length;
-		const extraDelay = Math.max(0, memberCount - membersWithoutExtraDelay) * updateDelayPerMemberMs;
-		clock.after(updateDelayMs + extraDelay, () => {
-			isTickScheduled = false;
-			if (!isStopped) {
-				flush();
-			}
-		});
+		cancelRequestedTick?.();
+		cancelRequestedTick = clock.after(dueAt - now, flush);
 	}
 
 	return {
@@ -113,17 +102,18 @@
 		},
 		async stop() {
 			isStopped = true;
+			cancelRequestedTick?.();
 			cancelTicks?.();
 			cancelSeconds?.();
 			await transport.stop();
 		},
 		markUrgent() {
 			member.markUrgent();
-			tickSoon();
+			requestTick('failure');
 		},
 		recordLoadChange() {
 			member.recordLoadChange();
-			tickSoon();
+			requestTick('load');
 		},
 		flush,
 	};
