--- a/packages/gateway/src/__tests__/published-state-service.test.ts
+++ b/packages/gateway/src/__tests__/published-state-service.test.ts
@@ -80,6 +80,9 @@
 			receiver: {
 				takeSnapshot: () => undefined,
 				takeChange: () => undefined,
+				retainedItems: () => [],
+				takeRetainedItems: () => undefined,
+				configurationVersion: () => 0,
 				confirm(at, clockOffset) {
 					confirmedAt = Math.max(confirmedAt, at);
 					confirmedOffset = clockOffset;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -57,7 +57,10 @@
 	/** Creates the platform adapter, which turns published items into configuration and targets. */
 	readonly createReceiver: (
 		state: Pick<Gateway, 'configuration' | 'directory' | 'setCallerIdleTimeout'>,
-	) => Pick<PublishedItemReceiver, 'takeSnapshot' | 'takeChange'>;
+	) => Pick<
+		PublishedItemReceiver,
+		'takeSnapshot' | 'takeChange' | 'retainedItems' | 'takeRetainedItems'
+	>;
 	/** IP addresses of the instances that a new instance contacts first. */
 	readonly seeds: () => readonly string[];
 	readonly dialect: RequestDialect;
@@ -192,6 +195,7 @@
 			configuration: {
 				version: configuration.version,
 				revision: published.revision,
+				era: published.era,
 				// The age is infinite before the first confirmation. Any age above a few seconds means the
 				// same to other instances: they do not use this one as a source.
 				confirmedAgo: Math.round(Math.min(configuration.confirmedAgo(), 1_000_000)),
@@ -239,12 +243,14 @@
 		self: options.self.address,
 		port: options.ports.published,
 		roster: fleet.roster,
+		seeds: options.seeds,
 		store: options.store,
 		discoveryTime: options.isFirstStart ? discoveryTimeMs : 0,
 		receiver: {
 			...options.createReceiver({configuration, directory, setCallerIdleTimeout}),
 			confirm: configuration.confirm,
 			confirmedAgo: configuration.confirmedAgo,
+			configurationVersion: () => configuration.version,
 		},
 	});
 
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -18,16 +18,23 @@
 import {type ConfigurationState, type Member} from '@shallotpond/policy-fleet/fleet-message';
 import {type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
 import {createPublishedLog, type PublishedItem} from '@shallotpond/policy-fleet/published-log';
+import {compareEras, comparePositions} from '@shallotpond/policy-fleet/published-position';
+import {type RetainedItem, type RetainedItemsReader} from '@shallotpond/policy-fleet/retained-item';
 import {
 	createSyncSourceSelector,
 	type SyncSource,
 } from '@shallotpond/policy-fleet/sync-source-selector';
 
-/** Read access to the platform's store, from its adapter. Calls throw a `PlatformError`. */
+/**
+ * Read access to the platform's store, from its adapter. Calls throw a `PlatformError`. The era of a
+ * response is undefined if the store does not state it.
+ */
 export type StoreReader = {
-	readAll(
-		signal: AbortSignal,
-	): Promise<{readonly items: readonly PublishedItem[]; readonly revision: number}>;
+	readAll(signal: AbortSignal): Promise<{
+		readonly items: readonly PublishedItem[];
+		readonly revision: number;
+		readonly era?: number | undefined;
+	}>;
 	/** Waits up to `wait` whole milliseconds for changes after the revision. */
 	watch(
 		revision: number,
@@ -38,16 +45,24 @@
 				readonly kind: 'changes';
 				readonly items: readonly PublishedItem[];
 				readonly revision: number;
+				readonly era?: number | undefined;
 		  }
-		/** The store has discarded the changes since the revision. */
-		| {readonly kind: 'history-gone'}
+		/** The store does not have the changes since the revision. */
+		| {readonly kind: 'history-gone'; readonly era?: number | undefined}
 	>;
 };
 
 export type PublishedItemReceiver = {
-	/** Replaces all items. `away` is the preceding time without contact to any source in ms. */
-	takeSnapshot(items: readonly PublishedItem[], away: number): void;
+	/**
+	 * Replaces all items. `away` is the preceding time without contact to any source in ms. If
+	 * `isNewEra`, the items may be an older copy of those before.
+	 */
+	takeSnapshot(items: readonly PublishedItem[], away: number, isNewEra?: boolean): void;
 	takeChange(item: PublishedItem): void;
+	/** What this instance knows to hold and the reader's copy of the store may lack. */
+	retainedItems(reader: RetainedItemsReader): readonly RetainedItem[];
+	/** Takes what another instance knows to hold; called after the first snapshot. */
+	takeRetainedItems(items: readonly RetainedItem[]): void;
 	/**
 	 * Records that everything published up to `at` (monotonic milliseconds) has been passed on.
 	 * `clockOffset` is the result of `readClockOffset` when the source was asked.
@@ -55,14 +70,18 @@
 	confirm(at: number, clockOffset: number): void;
 	/** Milliseconds since the latest time that was passed to `confirm`. */
 	confirmedAgo(): number;
+	/** Version of the configuration in force; 0 if there is none. */
+	configurationVersion(): number;
 };
 
 export type PublishedStateService = KernelService & {
 	/** Revision up to which all changes are known; 0 before the first snapshot. */
 	readonly revision: number;
+	/** Era of the revision; undefined if unknown. */
+	readonly era: number | undefined;
 	/**
-	 * Records the state that another instance reports. If its revision is higher, that instance is
-	 * read soon unless this one catches up before.
+	 * Records the state that another instance reports. If it is newer, that instance is read soon
+	 * unless this one catches up before.
 	 */
 	recordMemberState(state: ConfigurationState, from: Member): void;
 };
@@ -77,6 +96,8 @@
 	/** Port of the exchange, the same on all instances. */
 	readonly port: number;
 	readonly roster: FleetRoster;
+	/** IP addresses of the instances that a new instance contacts first. Default: none. */
+	readonly seeds?: () => readonly string[];
 	readonly store: StoreReader;
 	readonly receiver: PublishedItemReceiver;
 	/**
@@ -106,6 +127,13 @@
  * a failure.
  */
 const maxMemberAgeMs = 2400;
+/**
+ * Time within which a member must say what the store may lack. A new instance waits for that at its
+ * start, but only until the first of the members has answered.
+ */
+const retainedTimeoutMs = 250;
+/** Members that a new instance asks for what the store may lack; one of them may be frozen. */
+const maxRetainedSources = 3;
 /**
  * How long this instance may lag behind another one before the other is read in addition to the
  * current source.
@@ -128,7 +156,16 @@
 export function createPublishedStateService(
 	options: PublishedStateServiceOptions,
 ): PublishedStateService {
-	const {clock, random, log, metrics, store, receiver, discoveryTime = 0} = options;
+	const {
+		clock,
+		random,
+		log,
+		metrics,
+		store,
+		receiver,
+		discoveryTime = 0,
+		seeds = () => [],
+	} = options;
 	const published = createPublishedLog();
 	const sourceSelector = createSyncSourceSelector({
 		self: options.self,
@@ -142,24 +179,50 @@
 		clock,
 		log: published,
 		confirmedAgo: receiver.confirmedAgo,
+		retainedItems: reader => receiver.retainedItems(reader),
 	});
 	const discoveryEnd = clock.monotonic() + random() * discoveryTime;
 	let lastContactAt = clock.monotonic();
 	let isStoreLost = false;
-	let isHistoryGone = false;
+	/** Whether the state does not lead on to that of the store, so that all must be read again. */
+	let isSnapshotNeeded = false;
 	let isCatchingUp = false;
 	/** Whether the last read of the store returned changes. */
 	let hasStoreChanges = false;
 
-	function takeSnapshot(items: readonly PublishedItem[], revision: number): void {
-		if (published.replace(items, revision)) {
-			receiver.takeSnapshot(items, clock.monotonic() - lastContactAt);
-			listener.notify();
+	const position = () => ({era: published.era, revision: published.revision ?? 0});
+
+	function takeSnapshot(
+		items: readonly PublishedItem[],
+		revision: number,
+		era: number | undefined,
+	): void {
+		const before = {era: published.era, revision: published.revision};
+		if (!published.replace(items, revision, era)) {
+			return;
 		}
+
+		const isNewEra = before.revision !== undefined && era !== before.era;
+		if (isNewEra && before.era !== undefined) {
+			metrics.count('store-era-changes');
+			log.write('store-era-changed', {
+				before: before.era,
+				era,
+				revisionBefore: before.revision,
+				revision,
+			});
+		}
+
+		receiver.takeSnapshot(items, clock.monotonic() - lastContactAt, isNewEra);
+		listener.notify();
 	}
 
-	function takeChanges(items: readonly PublishedItem[], revision: number): void {
-		const added = published.add(items, revision);
+	function takeChanges(
+		items: readonly PublishedItem[],
+		revision: number,
+		era: number | undefined,
+	): void {
+		const added = published.add(items, revision, era) ?? [];
 		for (const item of added) {
 			receiver.takeChange(item);
 		}
@@ -169,6 +232,16 @@
 		}
 	}
 
+	/**
+	 * Throws if the response is of an older era than this instance knows: it proves nothing about
+	 * what has been published since.
+	 */
+	function refuseOlderEra(era: number | undefined): void {
+		if (compareEras(era, published.era) < 0) {
+			throw new PlatformError('stale-answer', 'the response is of an older era of the store');
+		}
+	}
+
 	function recordContact(confirmedAt: number, clockOffset: number): void {
 		lastContactAt = clock.monotonic();
 		receiver.confirm(confirmedAt, clockOffset);
@@ -177,11 +250,18 @@
 	async function readStore(signal: AbortSignal): Promise<void> {
 		const startedAt = clock.monotonic();
 		const clockOffset = readClockOffset(clock);
-		const {revision} = published;
-		if (revision === undefined || isHistoryGone || isStoreLost) {
+		const {revision, era} = published;
+		if (revision === undefined || isSnapshotNeeded || isStoreLost) {
 			const snapshot = await store.readAll(signal);
-			takeSnapshot(snapshot.items, snapshot.revision);
-			isHistoryGone = false;
+			// A response without an era counts as one of the era that was known when it was requested.
+			const snapshotEra = snapshot.era ?? era;
+			refuseOlderEra(snapshotEra);
+			takeSnapshot(snapshot.items, snapshot.revision, snapshotEra);
+			isSnapshotNeeded = false;
+			if (revision === undefined) {
+				await learnRetainedItems(signal);
+			}
+
 			recordContact(startedAt, clockOffset);
 			return;
 		}
@@ -189,12 +269,15 @@
 		// The older the last confirmation that nothing has changed, the sooner the next one is needed.
 		const wait = Math.ceil(Math.max(minStoreWaitMs, storeWaitMs - receiver.confirmedAgo()));
 		const changes = await store.watch(revision, wait, signal);
-		if (changes.kind === 'history-gone') {
-			isHistoryGone = true;
+		const changesEra = changes.era ?? era;
+		refuseOlderEra(changesEra);
+		// Changes after a revision of another era do not lead on from this state.
+		if (changes.kind === 'history-gone' || changesEra !== era) {
+			isSnapshotNeeded = true;
 			return;
 		}
 
-		takeChanges(changes.items, changes.revision);
+		takeChanges(changes.items, changes.revision, changesEra);
 		hasStoreChanges = changes.items.length > 0;
 		// A response without changes that arrives after the full wait counts as sent at the end of the
 		// wait. Any other response confirms only the time of the request.
@@ -203,25 +286,35 @@
 		recordContact(isUnchangedAtEnd ? startedAt + wait : startedAt, clockOffset);
 	}
 
-	async function readMember(address: string, wait: number, signal: AbortSignal): Promise<void> {
+	async function readMember(
+		address: string,
+		limits: {readonly wait: number; readonly slack: number; readonly asksRetained: boolean},
+		signal: AbortSignal,
+	): Promise<void> {
 		const startedAt = clock.monotonic();
 		const clockOffset = readClockOffset(clock);
-		const after = published.revision;
+		const {wait, asksRetained} = limits;
 		const response = await fetchPublishedChanges({
 			member: {host: address, port: options.port},
-			after,
+			after: published.revision === undefined ? undefined : position(),
+			retainedAbove: asksRetained ? receiver.configurationVersion() : undefined,
 			wait,
-			timeout: wait + memberSlackMs,
+			timeout: wait + limits.slack,
 			clock,
 			signal,
 		});
 		if (response.kind === 'snapshot') {
-			takeSnapshot(response.items, response.revision);
+			takeSnapshot(response.items, response.revision, response.era);
 		} else {
-			takeChanges(response.items, response.revision);
+			takeChanges(response.items, response.revision, response.era);
 		}
 
-		if (response.confirmedAgo > maxMemberAgeMs || response.revision < (published.revision ?? 0)) {
+		// A member that still has the older era may know what the store lost.
+		if (response.retained !== undefined && published.revision !== undefined) {
+			receiver.takeRetainedItems(response.retained);
+		}
+
+		if (response.confirmedAgo > maxMemberAgeMs || comparePositions(response, position()) < 0) {
 			throw new PlatformError(
 				'stale-answer',
 				`the member is out of date; it was last confirmed ${response.confirmedAgo} ms ago`,
@@ -233,6 +326,39 @@
 		recordContact(startedAt + response.waited - response.confirmedAgo, clockOffset);
 	}
 
+	function countFailure(error: unknown): void {
+		metrics.count('published-read-failures', 1, {
+			code: error instanceof PlatformError ? error.code : 'failed',
+		});
+	}
+
+	/**
+	 * Asks other members, at the start, for what the store may lack because it came back from an
+	 * older copy. Without their answer the state of the store is all that is known.
+	 */
+	async function learnRetainedItems(signal: AbortSignal): Promise<void> {
+		if (published.era === undefined || discoveryTime > 0) {
+			return;
+		}
+
+		const known = options.roster.sameDomainMembers(clock.monotonic());
+		const addresses = new Set([...known.map(({address}) => address), ...seeds()]);
+		addresses.delete(options.self);
+		const limits = {wait: 0, slack: retainedTimeoutMs, asksRetained: true};
+		const reads = [...addresses]
+			.slice(0, maxRetainedSources)
+			.map(async address => readMember(address, limits, signal));
+		if (reads.length === 0) {
+			return;
+		}
+
+		try {
+			await Promise.any(reads);
+		} catch (error) {
+			countFailure(error);
+		}
+	}
+
 	function recordStoreState(isLost: boolean, reason: string | undefined): void {
 		if (isLost !== isStoreLost) {
 			isStoreLost = isLost;
@@ -244,7 +370,9 @@
 	async function read(source: SyncSource, signal: AbortSignal): Promise<void> {
 		metrics.count('published-reads', 1, {source: source.kind});
 		if (source.kind === 'member') {
-			await readMember(source.address, memberWaitMs, signal);
+			const asksRetained = published.revision === undefined;
+			const limits = {wait: memberWaitMs, slack: memberSlackMs, asksRetained};
+			await readMember(source.address, limits, signal);
 			return;
 		}
 
@@ -300,19 +428,33 @@
 	});
 	const stopping = new AbortController();
 
-	/** Reads from another instance that reported `revision`, if this instance is still behind it. */
-	async function catchUp(address: string, revision: number): Promise<void> {
-		if (isCatchingUp || (published.revision ?? 0) >= revision) {
+	/**
+	 * Whether the member has what this instance lacks: a newer state, or a newer configuration that
+	 * the older copy of the store does not contain.
+	 */
+	function isBehind(state: ConfigurationState): boolean {
+		return comparePositions(state, position()) > 0 || hasRetainedConfiguration(state);
+	}
+
+	function hasRetainedConfiguration({era, version}: ConfigurationState): boolean {
+		return (
+			era !== undefined && published.era !== undefined && version > receiver.configurationVersion()
+		);
+	}
+
+	/** Reads from another instance that reported `state`, if this instance is still behind it. */
+	async function catchUp(address: string, state: ConfigurationState): Promise<void> {
+		if (isCatchingUp || !isBehind(state)) {
 			return;
 		}
 
 		isCatchingUp = true;
 		try {
-			await readMember(address, 0, stopping.signal);
+			const asksRetained = comparePositions(state, position()) <= 0;
+			const limits = {wait: 0, slack: memberSlackMs, asksRetained};
+			await readMember(address, limits, stopping.signal);
 		} catch (error) {
-			metrics.count('published-read-failures', 1, {
-				code: error instanceof PlatformError ? error.code : 'failed',
-			});
+			countFailure(error);
 		} finally {
 			isCatchingUp = false;
 		}
@@ -322,11 +464,17 @@
 		get revision() {
 			return published.revision ?? 0;
 		},
+		get era() {
+			return published.era;
+		},
 		recordMemberState(state, from) {
-			sourceSelector.recordConfirmation(from.address, state.confirmedAgo, clock.monotonic());
-			if (state.revision > (published.revision ?? 0)) {
+			// A member of an older era cannot replace the store as a source.
+			const isOlderEra = compareEras(state.era, published.era) < 0;
+			const confirmedAgo = isOlderEra ? Number.POSITIVE_INFINITY : state.confirmedAgo;
+			sourceSelector.recordConfirmation(from.address, confirmedAgo, clock.monotonic());
+			if (isBehind(state)) {
 				clock.after(catchUpDelayMs, () => {
-					void catchUp(from.address, state.revision);
+					void catchUp(from.address, state);
 				});
 			}
 		},
--- a/packages/io-fleet/src/__tests__/fleet-codec.test.ts
+++ b/packages/io-fleet/src/__tests__/fleet-codec.test.ts
@@ -84,6 +84,15 @@
 		expect(decode(bytes).messages).toEqual([{...withoutCleared, leavingTargets: []}]);
 	});
 
+	test('the era of a report is kept, and what a later version adds after it is ignored', () => {
+		const report = messages[2] as FleetMessage & {kind: 'report'};
+		const withEra = {...report, configuration: {...report.configuration, era: 4}};
+		const values = unpack(encodeFleetMessage(withEra)) as unknown[];
+		expect(decode(pack([...values, 'x'])).messages).toEqual([withEra]);
+		// An earlier version sends no era, so none may be made up for it.
+		expect(decode(pack(values.slice(0, -1))).messages).toEqual([report]);
+	});
+
 	/** Positions of a report: 3 to 12 are its fields, 2 is the sender. */
 	const faults: ReadonlyArray<readonly [string, number, unknown]> = [
 		['a host name as address', 2, ['example.com', 'north', 1]],
@@ -104,6 +113,8 @@
 		['loads that are no list', 10, {}],
 		['a long name', 11, [['a'.repeat(2000), 'i-1']]],
 		['leaving targets that are no names', 12, [1]],
+		['an era below 0', 14, -1],
+		['an era of another type', 14, '2'],
 	];
 	test.each(faults)(
 		'a report with %s is refused, and the next message is kept',
--- a/packages/io-fleet/src/__tests__/published-exchange.test.ts
+++ b/packages/io-fleet/src/__tests__/published-exchange.test.ts
@@ -70,6 +70,8 @@
 	'/published?after=x',
 	'/published?after=-1',
 	'/published?after=1e99',
+	'/published?after=1&era=x',
+	'/published?after=1&retained=-1',
 ])('a request for %s is refused and the listener goes on', async target => {
 	const log = createPublishedLog();
 	log.replace([item], 3);
@@ -99,6 +101,10 @@
 	['a value that is no text', {...valid, items: [{...item, value: {}}]}],
 	['a revision that is too large', {...valid, revision: 1e300}],
 	['an age below 0', {...valid, confirmedAgo: -1}],
+	['an era of another type', {...valid, era: '2'}],
+	['an era below 0', {...valid, era: -1}],
+	['retained items that are no list', {...valid, retained: {}}],
+	['a retained item without a state', {...valid, retained: [{key: 'a', value: ''}]}],
 	['no age', {...valid, confirmedAgo: undefined}],
 	['a wait of another type', {...valid, waited: '0'}],
 ])('a response with %s is an error of the source', async (_what, body) => {
@@ -111,3 +117,32 @@
 		await expect(fetchFrom(body)).rejects.toThrow('not JSON');
 	},
 );
+
+test.each([
+	['of an earlier era gets the whole state', 'after=9&era=1', {kind: 'snapshot', era: 2}],
+	['that knows no era yet gets the whole state', 'after=3&era=', {kind: 'snapshot', era: 2}],
+	['of a later era gets no items', 'after=1&era=3', {kind: 'changes', items: []}],
+	['of this era gets the changes', 'after=2&era=2', {kind: 'changes', items: [{...item}]}],
+	[
+		'of an earlier version, without eras, is served',
+		'after=2',
+		{kind: 'changes', items: [{...item}]},
+	],
+	['that asks for retained items gets them', 'after=3&era=3&retained=5', {retained: [5, true]}],
+])('a reader %s', async (_reader, query, expected) => {
+	const log = createPublishedLog();
+	log.replace([], 2, 2);
+	log.add([item], 3, 2);
+	const listener = createPublishedListener({
+		address: {host: '127.0.0.1', port: 0},
+		clock,
+		log,
+		confirmedAgo: () => 5,
+		// The test only needs to see which reader was passed on.
+		retainedItems: ({version, isOfNewerEra}) => [version, isOfNewerEra] as never,
+	});
+	await listener.start();
+	cleanUps.push(async () => listener.stop());
+	const response = await sendLine(listener.port, `/published?wait=0&${query}`);
+	expect(JSON.parse(/{.*}/.exec(response)![0])).toMatchObject(expected);
+});
--- a/packages/io-fleet/src/fleet-codec.ts
+++ b/packages/io-fleet/src/fleet-codec.ts
@@ -130,8 +130,13 @@
 	Array<[string, string]>,
 	string[],
 	string[],
+	number?,
 ];
 
+/** Without a known era, a report is the same as one of an earlier version. */
+const eraFieldsOf = ({configuration: {era}}: FleetReport): [number?] =>
+	era === undefined ? [] : [era];
+
 const encoders = {
 	report: (report: FleetReport): ReportFields => [
 		report.isRelayed,
@@ -159,6 +164,7 @@
 		report.crashes.map(({fingerprint, target}) => [fingerprint, target]),
 		[...report.leavingTargets],
 		[...report.clearedRequests],
+		...eraFieldsOf(report),
 	],
 	'suspects-request': () => [],
 	'suspects-answer': ({
@@ -194,6 +200,7 @@
 			// Instances of an earlier version do not send these fields.
 			leavingTargets = [],
 			clearedRequests = [],
+			era,
 		] = fields;
 		return {
 			kind: 'report',
@@ -202,6 +209,7 @@
 			configuration: {
 				version: toCount(version),
 				revision: toCount(revision),
+				...(era === undefined || era === null ? {} : {era: toCount(era)}),
 				confirmedAgo:
 					confirmedAgo === undefined || confirmedAgo === null ? undefined : toCount(confirmedAgo),
 			},
--- a/packages/io-fleet/src/published-exchange.ts
+++ b/packages/io-fleet/src/published-exchange.ts
@@ -8,14 +8,17 @@
 import {type Clock} from '@shallotpond/kernel/clock';
 import {formatSocketAddress, type SocketAddress} from '@shallotpond/kernel/setting-kinds';
 import {isWholeNumber} from '@shallotpond/kernel/whole-number';
-import {type PublishedItem, type PublishedLog} from '@shallotpond/policy-fleet/published-log';
+import {
+	type PublishedChanges,
+	type PublishedItem,
+	type PublishedLog,
+} from '@shallotpond/policy-fleet/published-log';
+import {compareEras, type PublishedPosition} from '@shallotpond/policy-fleet/published-position';
+import {type RetainedItem, type RetainedItemsReader} from '@shallotpond/policy-fleet/retained-item';
 import {callHttp, parseJsonResponse} from '@shallotpond/io-platform/http-call';
 import {FleetError} from './datagram-transport.js';
 
-export type PublishedResponse = {
-	readonly kind: 'changes' | 'snapshot';
-	readonly items: readonly PublishedItem[];
-	readonly revision: number;
+export type PublishedResponse = PublishedChanges & {
 	/**
 	 * Milliseconds since the responding instance was confirmed to be up to date; `neverConfirmed` if
 	 * it never was.
@@ -23,6 +26,8 @@
 	readonly confirmedAgo: number;
 	/** Milliseconds for which the responding instance held the request. */
 	readonly waited: number;
+	/** Present if the request asked for it. */
+	readonly retained?: readonly RetainedItem[] | undefined;
 };
 
 export type PublishedListener = {
@@ -41,6 +46,8 @@
 	readonly log: PublishedLog;
 	/** Milliseconds since this instance was confirmed to be up to date. */
 	readonly confirmedAgo: () => number;
+	/** See `PublishedItemReceiver`. */
+	readonly retainedItems?: (reader: RetainedItemsReader) => readonly RetainedItem[];
 };
 
 const path = '/published';
@@ -60,50 +67,84 @@
 	);
 }
 
+function isRetainedItem(value: unknown): value is RetainedItem {
+	const {key, value: text, state, expiresIn} = (value ?? {}) as Readonly<Record<string, unknown>>;
+	return (
+		typeof key === 'string' &&
+		typeof text === 'string' &&
+		(state === 'in-force' || state === 'removed') &&
+		(expiresIn === undefined || isWholeNumber(expiresIn))
+	);
+}
+
 /**
  * Checks a response of another instance. Throws a `FleetError` if a field is missing or malformed;
  * the caller then reads from another source.
  */
 function toPublishedResponse(value: unknown): PublishedResponse {
 	const response = (value ?? {}) as Readonly<Record<string, unknown>>;
-	const {kind, items, revision, confirmedAgo, waited} = response;
+	const {kind, items, revision, era, confirmedAgo, waited, retained} = response;
 	const isValid =
 		(kind === 'changes' || kind === 'snapshot') &&
 		Array.isArray(items) &&
 		items.every(item => isPublishedItem(item)) &&
 		isWholeNumber(revision) &&
+		// Instances of an earlier version send no era and no retained items.
+		(era === undefined || isWholeNumber(era)) &&
+		(retained === undefined ||
+			(Array.isArray(retained) && retained.every(item => isRetainedItem(item)))) &&
 		isWholeNumber(confirmedAgo) &&
 		isWholeNumber(waited);
 	if (!isValid) {
 		throw new FleetError('malformed-response', 'the response of the member is malformed');
 	}
 
-	return {kind, items, revision, confirmedAgo, waited};
+	return {kind, items, revision, era, confirmedAgo, waited, retained};
 }
 
 type HeldRequest = {complete(): void};
 
+type PublishedQuery = {
+	/** Undefined if the reader has no snapshot. */
+	readonly after: number | undefined;
+	/** Era of `after`; undefined if the reader does not know it. */
+	readonly era: number | undefined;
+	/**
+	 * Configuration version of a reader that asks for the retained items; undefined for any other
+	 * reader.
+	 */
+	readonly retainedAbove: number | undefined;
+};
+
+function readNumber(text: string | undefined): number | undefined {
+	return text === undefined || text === '' ? undefined : Number(text);
+}
+
 export function createPublishedListener(options: PublishedListenerOptions): PublishedListener {
 	const {clock, log} = options;
 	const held = new Set<HeldRequest>();
 
-	function respond(response: ServerResponse, after: number | undefined, waited: number): void {
-		const changes = log.since(after);
+	function respond(response: ServerResponse, query: PublishedQuery, waited: number): void {
+		const changes = log.since(query.after, query.era);
 		if (changes === undefined) {
 			response.writeHead(503).end();
 			return;
 		}
 
+		const {retainedAbove: version} = query;
+		const isOfNewerEra = query.after !== undefined && compareEras(query.era, changes.era) > 0;
 		const body: PublishedResponse = {
 			...changes,
 			confirmedAgo: Math.min(neverConfirmed, Math.ceil(options.confirmedAgo())),
 			waited: Math.floor(waited),
+			retained:
+				version === undefined ? undefined : options.retainedItems?.({version, isOfNewerEra}),
 		};
 		response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(body));
 	}
 
-	function hasChanges(after: number | undefined): boolean {
-		const changes = log.since(after);
+	function hasChanges({after, era}: PublishedQuery): boolean {
+		const changes = log.since(after, era);
 		return changes !== undefined && (changes.kind === 'snapshot' || changes.items.length > 0);
 	}
 
@@ -115,21 +156,26 @@
 		// Parsed by hand, because `URL` throws on some targets that the HTTP parser accepts.
 		const [pathname, query] = (request.url ?? '/').split('?', 2);
 		const parameters = new URLSearchParams(query);
-		const afterText = parameters.get('after');
-		const after = afterText === null ? undefined : Number(afterText);
+		const eraText = parameters.get('era');
+		const publishedQuery: PublishedQuery = {
+			after: readNumber(parameters.get('after') ?? undefined),
+			// A reader of an earlier version has no eras: its revision is taken as one of this era.
+			era: eraText === null ? log.era : readNumber(eraText),
+			retainedAbove: readNumber(parameters.get('retained') ?? undefined),
+		};
 		const wait = Math.min(Number(parameters.get('wait') ?? 0), maxWait);
 		if (pathname !== path) {
 			response.writeHead(404).end();
 			return;
 		}
 
-		if (after !== undefined && !isWholeNumber(after)) {
+		if (Object.values(publishedQuery).some(value => value !== undefined && !isWholeNumber(value))) {
 			response.writeHead(400).end();
 			return;
 		}
 
-		if (hasChanges(after) || !(wait > 0)) {
-			respond(response, after, 0);
+		if (hasChanges(publishedQuery) || !(wait > 0)) {
+			respond(response, publishedQuery, 0);
 			return;
 		}
 
@@ -138,7 +184,7 @@
 			complete() {
 				cancel();
 				held.delete(heldRequest);
-				respond(response, after, clock.monotonic() - startedAt);
+				respond(response, publishedQuery, clock.monotonic() - startedAt);
 			},
 		};
 		const cancel = clock.after(wait, heldRequest.complete);
@@ -187,8 +233,13 @@
  */
 export async function fetchPublishedChanges(options: {
 	readonly member: SocketAddress;
-	/** Revision that the requesting instance has; undefined before its first snapshot. */
-	readonly after: number | undefined;
+	/** Position of the requesting instance; undefined before its first snapshot. */
+	readonly after: PublishedPosition | undefined;
+	/**
+	 * Configuration version of the requesting instance, to ask for the items that the member retains;
+	 * undefined not to ask.
+	 */
+	readonly retainedAbove?: number | undefined;
 	/** Milliseconds for which the member may hold the request. */
 	readonly wait: number;
 	/** Milliseconds for the whole call. */
@@ -196,11 +247,17 @@
 	readonly clock: Clock;
 	readonly signal: AbortSignal;
 }): Promise<PublishedResponse> {
-	const {member, after, wait, timeout, clock, signal} = options;
+	const {member, after, retainedAbove, wait, timeout, clock, signal} = options;
 	const url = new URL(`http://${formatSocketAddress(member)}${path}`);
 	url.searchParams.set('wait', String(wait));
 	if (after !== undefined) {
-		url.searchParams.set('after', String(after));
+		url.searchParams.set('after', String(after.revision));
+		// An empty era says that it is unknown; readers of an earlier version send none.
+		url.searchParams.set('era', String(after.era ?? ''));
+	}
+
+	if (retainedAbove !== undefined) {
+		url.searchParams.set('retained', String(retainedAbove));
 	}
 
 	const response = await callHttp({url, timeout, maxResponseSize, clock, signal});
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -10,6 +10,7 @@
 	| 'settings-refused'
 	| 'store-lost'
 	| 'store-regained'
+	| 'store-era-changed'
 	| 'store-entry-refused'
 	| 'configuration-adopted'
 	| 'configuration-refused'
--- a/packages/platform/src/__tests__/published-item-receiver.test.ts
+++ b/packages/platform/src/__tests__/published-item-receiver.test.ts
@@ -113,4 +113,111 @@
 		fixture.clock.advance(400);
 		expect(fixture.configuration.isUncertain()).toBe(true);
 	});
+
+	describe('after the store came back from an older copy', () => {
+		const evacuation = {key: 'op/evacuate/north', revision: 2, value: encode({})};
+		const isActive = () => fixture.configuration.tables!.isDomainActive('north');
+
+		test('an older configuration does not replace the one in force, and its next version does', () => {
+			fixture.receiver.takeSnapshot([configurationItem(12)], 0);
+			fixture.receiver.takeSnapshot([configurationItem(9)], 0, true);
+			expect(fixture.configuration.version).toBe(12);
+			fixture.receiver.takeChange(configurationItem(14));
+			expect(fixture.configuration.version).toBe(14);
+		});
+
+		test('an evacuation that is missing is held until the operator had time to write it again, and then ends', () => {
+			fixture.receiver.takeSnapshot([configurationItem(1), evacuation], 0);
+			fixture.receiver.takeSnapshot([configurationItem(1)], 0, true);
+			fixture.clock.advance(9900);
+			expect(isActive()).toBe(false);
+			fixture.clock.advance(200);
+			expect(isActive()).toBe(true);
+			expect(fixture.returned).toEqual(['north']);
+		});
+
+		test('an evacuation that is written again goes on, until it is taken back', () => {
+			fixture.receiver.takeSnapshot([configurationItem(1), evacuation], 0);
+			fixture.receiver.takeSnapshot([configurationItem(1)], 0, true);
+			fixture.receiver.takeChange(evacuation);
+			fixture.clock.advance(60_000);
+			expect(isActive()).toBe(false);
+			fixture.receiver.takeChange({...evacuation, value: undefined});
+			expect(isActive()).toBe(true);
+		});
+
+		test('an evacuation that was taken back without a new era ends at once', () => {
+			fixture.receiver.takeSnapshot([configurationItem(1), evacuation], 0);
+			fixture.receiver.takeSnapshot([configurationItem(1)], 0);
+			expect(isActive()).toBe(true);
+		});
+
+		test('a target whose entry is missing is kept until it had time to check in, without an outage', () => {
+			fixture.receiver.takeSnapshot([targetItem(1)], 0);
+			fixture.receiver.takeSnapshot([], 0, true);
+			expect(usable()).toEqual(['i-1@100']);
+			fixture.clock.advance(2000);
+			expect(usable()).toEqual([]);
+		});
+
+		test.each([
+			['is draining', targetItem(5, 100, 'draining')],
+			['was removed', {key: 'servers/i-1', revision: 6, value: undefined}],
+			['was started again', targetItem(1, 200, 'draining')],
+		])('an older entry does not bring back a target that %s', (_state, change) => {
+			fixture.receiver.takeSnapshot([targetItem(4)], 0);
+			fixture.receiver.takeChange(change);
+			fixture.receiver.takeSnapshot([targetItem(4)], 0, true);
+			expect(usable()).toEqual([]);
+			// Not even after another return, with a copy that lacks the target.
+			fixture.receiver.takeSnapshot([], 0, true);
+			fixture.receiver.takeChange(targetItem(4));
+			expect(usable()).toEqual([]);
+		});
+
+		test('the entry of an earlier start does not hide the running one', () => {
+			fixture.receiver.takeSnapshot([targetItem(4)], 0);
+			fixture.receiver.takeChange(targetItem(1, 200));
+			fixture.receiver.takeSnapshot([targetItem(4)], 0, true);
+			expect(usable()).toEqual(['i-1@200']);
+		});
+
+		test('a removed target that checks in again, and the next start of a draining one, get requests', () => {
+			fixture.receiver.takeSnapshot([targetItem(4)], 0);
+			fixture.receiver.takeChange({key: 'servers/i-1', revision: 6, value: undefined});
+			fixture.receiver.takeSnapshot([targetItem(4)], 0, true);
+			fixture.receiver.takeChange(targetItem(5));
+			expect(usable()).toEqual(['i-1@100']);
+			fixture.receiver.takeChange(targetItem(6, 100, 'draining'));
+			fixture.receiver.takeChange(targetItem(1, 200));
+			expect(usable()).toEqual(['i-1@200']);
+		});
+
+		test('an instance that starts on the older copy takes over what another one knows', () => {
+			const {receiver: other, clock} = createFixture();
+			other.takeSnapshot([configurationItem(12), evacuation, targetItem(4)], 0);
+			other.takeChange({key: 'servers/i-1', revision: 6, value: undefined});
+			// The other instance has not seen the new era yet.
+			const early = other.retainedItems({version: 9, isOfNewerEra: true});
+			other.takeSnapshot([configurationItem(9), targetItem(4)], 0, true);
+			clock.advance(4000);
+			const late = other.retainedItems({version: 9, isOfNewerEra: false});
+			for (const [retained, hold] of [[early, 10_000] as const, [late, 6000] as const]) {
+				fixture = createFixture();
+				fixture.receiver.takeSnapshot([configurationItem(9), targetItem(4)], 0);
+				fixture.receiver.takeRetainedItems(retained);
+				expect(fixture.configuration.version).toBe(12);
+				expect(usable()).toEqual([]);
+				fixture.clock.advance(hold - 1);
+				expect(isActive()).toBe(false);
+				fixture.clock.advance(1);
+				expect(isActive()).toBe(true);
+			}
+		});
+
+		test('what the store lists is not retained as well', () => {
+			fixture.receiver.takeSnapshot([configurationItem(12), evacuation, targetItem(4)], 0);
+			expect(fixture.receiver.retainedItems({version: 0, isOfNewerEra: false})).toEqual([]);
+		});
+	});
 });
--- a/packages/platform/src/platform-program.ts
+++ b/packages/platform/src/platform-program.ts
@@ -136,6 +136,9 @@
 			onMalformedEntries(count) {
 				log.write('store-entry-refused', {count, error: 'no key, revision or value'});
 			},
+			onMalformedEra() {
+				metrics.count('store-eras-refused');
+			},
 		}),
 		createReceiver: state =>
 			createPublishedItemReceiver({
--- a/packages/platform/src/stand-in-store.ts
+++ b/packages/platform/src/stand-in-store.ts
@@ -6,7 +6,7 @@
 import http, {type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {type Clock} from '@shallotpond/kernel/clock';
-import {platformPaths} from './wire-names.js';
+import {headerNames, platformPaths} from './wire-names.js';
 
 export type StoreFault =
 	/** Resets every connection. */
@@ -31,6 +31,19 @@
 	 * status 410 and its client has to read all items again.
 	 */
 	compact(): void;
+	/** Returns a copy of the current state, for `restore`. */
+	copy(): StoreCopy;
+	/**
+	 * Goes back to an older copy: what was written since is lost, its revisions will be given out
+	 * again, the era rises and all connections are closed.
+	 */
+	restore(copy: StoreCopy): void;
+};
+
+export type StoreCopy = {
+	readonly items: ReadonlyMap<string, Item>;
+	readonly history: readonly Item[];
+	readonly revision: number;
 };
 
 type Item = {readonly key: string; readonly value?: string; readonly revision: number};
@@ -48,7 +61,8 @@
 }
 
 export function createStandInStore({clock}: {readonly clock: Clock}): StandInStore {
-	const items = new Map<string, Item>();
+	let items = new Map<string, Item>();
+	let era = 1;
 	let history: Item[] = [];
 	let revision = 1;
 	let compactedRevision = 0;
@@ -57,7 +71,10 @@
 
 	function send(response: ServerResponse, status: number, body: unknown): void {
 		const bytes = JSON.stringify(body);
-		response.writeHead(status, {'content-type': 'application/json'});
+		response.writeHead(status, {
+			'content-type': 'application/json',
+			[headerNames.storeEra]: String(era),
+		});
 		response.end(bytes);
 	}
 
@@ -81,7 +98,7 @@
 			return;
 		}
 
-		if (after < compactedRevision) {
+		if (after < compactedRevision || after > revision) {
 			send(response, statuses.gone, {});
 			return;
 		}
@@ -194,5 +211,14 @@
 			compactedRevision = revision;
 			server.closeAllConnections();
 		},
+		copy: () => ({items: new Map(items), history: [...history], revision}),
+		restore(copy) {
+			items = new Map(copy.items);
+			history = [...copy.history];
+			({revision} = copy);
+			compactedRevision = Math.min(compactedRevision, revision);
+			era++;
+			server.closeAllConnections();
+		},
 	};
 }
--- a/packages/platform/src/store-client.ts
+++ b/packages/platform/src/store-client.ts
@@ -9,7 +9,7 @@
 import {PlatformError} from '@shallotpond/io-platform/platform-error';
 import {type StoreReader} from '@shallotpond/gateway/published-state-service';
 import {type PublishedItem} from '@shallotpond/policy-fleet/published-log';
-import {platformPaths} from './wire-names.js';
+import {headerNames, platformPaths} from './wire-names.js';
 
 export type StoreClientOptions = {
 	readonly address: () => SocketAddress;
@@ -17,6 +17,8 @@
 	readonly countCall: (call: 'range' | 'watch', status: string) => void;
 	/** Called with the number of entries of a response that were left out as malformed. */
 	readonly onMalformedEntries: (count: number) => void;
+	/** Called if the era in a response is malformed; it then counts as missing. */
+	readonly onMalformedEra: () => void;
 };
 
 /** Milliseconds; the store responds in 4 ms, and in 60 times as long when it is slow. */
@@ -27,6 +29,11 @@
 const maxResponseSize = 4_194_304;
 /** The empty prefix matches every key, so that one call follows all published items. */
 const everyKeyPrefix = '';
+/**
+ * How often a read of all items begins anew because the store came back from an older copy between
+ * two pages.
+ */
+const maxRestarts = 2;
 const goneStatus = 410;
 const okStatus = 200;
 
@@ -104,42 +111,77 @@
 		return revision;
 	}
 
+	/** Undefined if the response states no era. */
+	function readEra(response: HttpResponse): number | undefined {
+		const text = response.headers[headerNames.storeEra];
+		if (text === undefined) {
+			return undefined;
+		}
+
+		const era = typeof text === 'string' && /^\d+$/.test(text) ? Number(text) : undefined;
+		if (isWholeNumber(era)) {
+			return era;
+		}
+
+		options.onMalformedEra();
+		return undefined;
+	}
+
 	async function readPage(after: string | undefined, signal: AbortSignal) {
 		const query = {prefix: everyKeyPrefix, ...(after !== undefined && {after})};
-		const body = readBody(await call('range', query, readTimeout, signal));
+		const response = await call('range', query, readTimeout, signal);
+		const body = readBody(response);
 		return {
+			era: readEra(response),
 			items: readList(body.items),
 			hasMore: body.has_more === true,
 			revision: readRevision(body),
 		};
 	}
 
+	/** Returns undefined if the era changed between two pages, which then are of two histories. */
+	async function readPages(signal: AbortSignal) {
+		const items: PublishedItem[] = [];
+		let first: {readonly revision: number; readonly era: number | undefined} | undefined;
+		let after: string | undefined;
+		for (let hasMore = true; hasMore;) {
+			const page = await readPage(after, signal);
+			// The pages are not one snapshot. A watch from the revision of the first page repeats all
+			// later changes.
+			first ??= {revision: page.revision, era: page.era};
+			if (page.era !== undefined && first.era !== undefined && page.era !== first.era) {
+				return undefined;
+			}
+
+			items.push(...page.items);
+			after = page.items.at(-1)?.key;
+			hasMore = page.hasMore && after !== undefined;
+		}
+
+		return {items, revision: first?.revision ?? 0, era: first?.era};
+	}
+
 	return {
 		async readAll(signal) {
-			const items: PublishedItem[] = [];
-			let revision: number | undefined;
-			let after: string | undefined;
-			for (let hasMore = true; hasMore;) {
-				const page = await readPage(after, signal);
-				// The pages are not one snapshot. A watch from the revision of the first page repeats all
-				// later changes.
-				revision ??= page.revision;
-				items.push(...page.items);
-				after = page.items.at(-1)?.key;
-				hasMore = page.hasMore && after !== undefined;
+			for (let restarts = 0; restarts <= maxRestarts; restarts++) {
+				const snapshot = await readPages(signal);
+				if (snapshot !== undefined) {
+					return snapshot;
+				}
 			}
 
-			return {items, revision: revision ?? 0};
+			throw new PlatformError('malformed-answer', 'the era of the store changes while it is read');
 		},
 		async watch(revision, wait, signal) {
 			const query = {prefix: everyKeyPrefix, after: String(revision), wait_ms: String(wait)};
 			const response = await call('watch', query, wait + watchSlack, signal);
+			const era = readEra(response);
 			if (response.status === goneStatus) {
-				return {kind: 'history-gone'};
+				return {kind: 'history-gone', era};
 			}
 
 			const body = readBody(response);
-			return {kind: 'changes', items: readList(body.events), revision: readRevision(body)};
+			return {kind: 'changes', items: readList(body.events), revision: readRevision(body), era};
 		},
 	};
 }
--- a/packages/platform/src/wire-names.ts
+++ b/packages/platform/src/wire-names.ts
@@ -15,6 +15,8 @@
 	/** `1` in each response of a target that is leaving. */
 	leaving: 'server-leaving',
 	key: 'x-shallotpond-credential',
+	/** Era of the store, in all its responses; rises when it comes back from an older copy. */
+	storeEra: 'store-era',
 } as const;
 
 export const platformPaths = {
--- a/packages/policy-fleet/src/__tests__/published-log.test.ts
+++ b/packages/policy-fleet/src/__tests__/published-log.test.ts
@@ -41,4 +41,39 @@
 		expect(log.since(1)).toMatchObject({kind: 'snapshot', revision: 1999});
 		expect(log.since(1990)?.items).toHaveLength(9);
 	});
+
+	test('a snapshot of a later era is taken at a lower revision, and one of an earlier era never', () => {
+		const log = createPublishedLog();
+		log.replace([item('a', 90)], 100, 1);
+		expect(log.replace([item('a', 40)], 50, 2)).toBe(true);
+		expect(log.replace([item('a', 110)], 120, 1)).toBe(false);
+		expect(log.replace([item('a', 110)], 120)).toBe(false);
+		expect(log.since(undefined)).toMatchObject({items: [item('a', 40)], revision: 50, era: 2});
+	});
+
+	test('revisions that are given out again in a later era are new changes', () => {
+		const log = createPublishedLog();
+		log.replace([item('a', 90)], 100, 1);
+		log.replace([item('a', 40)], 50, 2);
+		expect(log.add([item('a', 90)], 90, 2)).toEqual([item('a', 90)]);
+		expect(log.since(50, 2)?.items).toEqual([item('a', 90)]);
+	});
+
+	test('changes of another era are refused, because they follow from another state', () => {
+		const log = createPublishedLog();
+		log.replace([], 50, 2);
+		for (const era of [undefined, 1, 3]) {
+			expect(log.add([item('a', 101)], 101, era)).toBeUndefined();
+		}
+
+		expect(log.since(undefined)).toMatchObject({items: [], revision: 50, era: 2});
+	});
+
+	test('a reader of an earlier era gets everything, and one of a later era nothing', () => {
+		const log = createPublishedLog();
+		log.replace([item('a', 40)], 50, 2);
+		expect(log.since(100, 1)).toMatchObject({kind: 'snapshot', items: [item('a', 40)]});
+		expect(log.since(100)).toMatchObject({kind: 'snapshot', items: [item('a', 40)]});
+		expect(log.since(10, 3)).toMatchObject({kind: 'changes', items: []});
+	});
 });
--- a/packages/policy-fleet/src/fleet-message.ts
+++ b/packages/policy-fleet/src/fleet-message.ts
@@ -54,6 +54,8 @@
 	readonly version: number;
 	/** Revision up to which the sender has everything that the platform publishes. */
 	readonly revision: number;
+	/** Era of the revision; undefined if unknown or if the sender is of an earlier version. */
+	readonly era?: number | undefined;
 	/**
 	 * Milliseconds since the version was last confirmed to be the newest; undefined or a very large
 	 * number if it never was.
--- a/packages/policy-fleet/src/published-log.ts
+++ b/packages/policy-fleet/src/published-log.ts
@@ -1,40 +1,44 @@
 /**
  * The newest state of everything that the platform publishes, together with its latest changes. An
- * instance uses it to send other instances what is new since the revision that they have.
+ * instance uses it to send other instances what is new since the position that they have.
  */
+import {compareEras, comparePositions, type PublishedPosition} from './published-position.js';
 
 /** One published item. An undefined value means that the item was deleted. */
 export type PublishedItem = {
 	readonly key: string;
 	readonly value: string | undefined;
-	/** Revision of the item's last change; all items share one increasing counter. */
+	/** Revision of the item's last change; all items of an era share one increasing counter. */
 	readonly revision: number;
 };
 
-export type PublishedChanges =
-	| {
-			readonly kind: 'changes';
-			readonly items: readonly PublishedItem[];
-			readonly revision: number;
-	  }
-	| {
-			readonly kind: 'snapshot';
-			readonly items: readonly PublishedItem[];
-			readonly revision: number;
-	  };
+export type PublishedChanges = {
+	readonly kind: 'changes' | 'snapshot';
+	readonly items: readonly PublishedItem[];
+	readonly revision: number;
+	/** Undefined if unknown. */
+	readonly era?: number | undefined;
+};
 
 export type PublishedLog = {
 	/** Revision up to which everything is known; undefined before the first snapshot. */
 	readonly revision: number | undefined;
+	/** Era of the revision; undefined before the first snapshot or if unknown. */
+	readonly era: number | undefined;
 	/** Replaces all items. Returns false and changes nothing if a newer state is known. */
-	replace(items: readonly PublishedItem[], revision: number): boolean;
-	/** Adds changes and returns those that were not known yet. */
-	add(items: readonly PublishedItem[], revision: number): PublishedItem[];
+	replace(items: readonly PublishedItem[], revision: number, era?: number): boolean;
 	/**
-	 * Returns what is new after the revision: the changes, or a snapshot if the revision is undefined
-	 * or the changes since then are no longer kept. Returns undefined before the first snapshot.
+	 * Adds changes and returns those that were not known yet. Returns undefined and changes nothing
+	 * if they are of another era: they follow from a state that this log does not have.
 	 */
-	since(revision: number | undefined): PublishedChanges | undefined;
+	add(items: readonly PublishedItem[], revision: number, era?: number): PublishedItem[] | undefined;
+	/**
+	 * Returns what is new for a reader that has everything up to the revision of the era: the
+	 * changes, or a snapshot if the revision is undefined or of an older era, or the changes since
+	 * then are no longer kept. A reader of a newer era gets no items. Returns undefined before the
+	 * first snapshot.
+	 */
+	since(revision: number | undefined, era?: number): PublishedChanges | undefined;
 };
 
 /** Number of changes kept; at the planned size the platform publishes about 4,000 changes a day. */
@@ -45,7 +49,7 @@
 	let changes: PublishedItem[] = [];
 	/** Changes at or before this revision are no longer kept. */
 	let trimmedRevision = 0;
-	let currentRevision: number | undefined;
+	let current: PublishedPosition | undefined;
 
 	function apply(item: PublishedItem): boolean {
 		const previous = items.get(item.key);
@@ -73,10 +77,14 @@
 
 	return {
 		get revision() {
-			return currentRevision;
+			return current?.revision;
+		},
+		get era() {
+			return current?.era;
 		},
-		replace(snapshot, revision) {
-			if (currentRevision !== undefined && revision < currentRevision) {
+		replace(snapshot, revision, era) {
+			const position = {era, revision};
+			if (current !== undefined && comparePositions(position, current) < 0) {
 				return false;
 			}
 
@@ -87,27 +95,36 @@
 
 			changes = [];
 			trimmedRevision = revision;
-			currentRevision = revision;
+			current = position;
 			return true;
 		},
-		add(newItems, revision) {
+		add(newItems, revision, era) {
+			if (current !== undefined && compareEras(era, current.era) !== 0) {
+				return undefined;
+			}
+
 			const added = newItems.filter(item => apply(item));
-			currentRevision = Math.max(currentRevision ?? 0, revision);
+			current = {era, revision: Math.max(current?.revision ?? 0, revision)};
 			trim();
 			return added;
 		},
-		since(revision) {
-			if (currentRevision === undefined) {
+		since(revision, era) {
+			if (current === undefined) {
 				return undefined;
 			}
 
-			if (revision === undefined || revision < trimmedRevision) {
+			const eraDifference = revision === undefined ? 0 : compareEras(era, current.era);
+			if (eraDifference > 0) {
+				return {kind: 'changes', items: [], ...current};
+			}
+
+			if (revision === undefined || eraDifference < 0 || revision < trimmedRevision) {
 				const present = [...items.values()].filter(({value}) => value !== undefined);
-				return {kind: 'snapshot', items: present, revision: currentRevision};
+				return {kind: 'snapshot', items: present, ...current};
 			}
 
 			const newer = changes.filter(item => item.revision > revision);
-			return {kind: 'changes', items: newer, revision: currentRevision};
+			return {kind: 'changes', items: newer, ...current};
 		},
 	};
 }
--- a/packages/policy-fleet/src/report-schedule.ts
+++ b/packages/policy-fleet/src/report-schedule.ts
@@ -160,6 +160,7 @@
 	let isNearUrgent = false;
 	let hasLoadChanged = false;
 	let revision = 0;
+	let era: number | undefined;
 	let isLeaving = false;
 
 	function createReport(
@@ -302,8 +303,11 @@
 			isUrgent ||= content.isLeaving !== isLeaving;
 			// A new revision is reported at once, so that members of this failure domain whose source of
 			// published items is stuck learn of the revision.
-			isNearUrgent ||= isUrgent || content.configuration.revision !== revision;
-			({revision} = content.configuration);
+			isNearUrgent ||=
+				isUrgent ||
+				content.configuration.revision !== revision ||
+				content.configuration.era !== era;
+			({revision, era} = content.configuration);
 			({isLeaving} = content);
 			const nearReports = reportToSameDomain(content, now);
 			const outgoing = [
