--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -21,6 +21,7 @@
 	endsWithConnection,
 	hasBody,
 	hasExpectedType,
+	hasFinalStatus,
 	isFramed,
 	formatResponseHead,
 	readResumableDownload,
@@ -413,7 +414,8 @@
 		progress: Progress,
 		targetResponse: IncomingMessage,
 	): RefusedResponse | undefined {
-		if (checkHeaderSyntax(targetResponse.rawHeaders) !== 'valid') {
+		const isValid = checkHeaderSyntax(targetResponse.rawHeaders) === 'valid';
+		if (!isValid || !hasFinalStatus(targetResponse)) {
 			return mismatchedResponse;
 		}
 
--- a/packages/io-http/src/response-checks.ts
+++ b/packages/io-http/src/response-checks.ts
@@ -13,6 +13,11 @@
 	return method !== 'HEAD' && status !== 204 && status !== 304;
 }
 
+/** RFC 9110, section 15: a status code below 100 or above 599 is invalid. */
+export function hasFinalStatus({statusCode = 0}: IncomingMessage): boolean {
+	return statusCode >= 200 && statusCode <= 599;
+}
+
 /**
  * Whether the framing marks the end of the body. If a body ends with the connection, a complete one
  * cannot be told from an aborted one, so such a body is refused unless `acceptsUnframed` is set.
