--- a/packages/gateway/src/__tests__/store-era.test.ts
+++ b/packages/gateway/src/__tests__/store-era.test.ts
@@ -5,7 +5,6 @@
  */
 import {afterEach, beforeEach, expect, test} from '@jest/globals';
 import {createSeededRandom} from '@shallotpond/kernel/random';
-import {noopEventLog} from '@shallotpond/observability/event-log';
 import {createMetrics, type Metrics} from '@shallotpond/observability/metrics';
 import {createFleetRoster, type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
 import {type PublishedItem} from '@shallotpond/policy-fleet/published-log';
@@ -30,6 +29,7 @@
 let taken: string[];
 let confirmedAt: number;
 let roster: FleetRoster;
+let events: unknown[];
 
 async function settle(): Promise<void> {
 	for (let step = 0; step < 40; step++) {
@@ -49,6 +49,7 @@
 	snapshot = {items: [item('a', 90)], revision: 100, era: 1};
 	snapshotReads = 0;
 	answers = [];
+	events = [];
 	taken = [];
 	confirmedAt = 0;
 	const self = {address: '127.0.0.1', failureDomain: 'north', startedAt: 1};
@@ -56,7 +57,11 @@
 	service = createPublishedStateService({
 		clock,
 		random: createSeededRandom(1),
-		log: noopEventLog,
+		log: {
+			write(event, fields) {
+				events.push([event, fields]);
+			},
+		},
 		metrics,
 		self: self.address,
 		port: 0,
@@ -115,6 +120,8 @@
 	expect(taken).toEqual(['new-era', 'c']);
 	expect([service.era, service.revision]).toEqual([2, 50]);
 	expect(await metrics.total('store-era-changes')).toBe(1);
+	const fields = {before: 1, era: 2, revisionBefore: 100, revision: 50};
+	expect(events).toEqual([['store-era-changed', fields]]);
 	// A revision that was given out before is given out again.
 	await answer({kind: 'changes', items: [item('a', 90)], revision: 90, era: 2});
 	expect(taken).toEqual(['new-era', 'c', 'a:90']);
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -450,7 +450,8 @@
 
 		isCatchingUp = true;
 		try {
-			const asksRetained = comparePositions(state, position()) <= 0;
+			const isMemberNewer = comparePositions(state, position()) > 0;
+			const asksRetained = published.revision === undefined || !isMemberNewer;
 			const limits = {wait: 0, slack: memberSlackMs, asksRetained};
 			await readMember(address, limits, stopping.signal);
 		} catch (error) {
--- a/packages/platform/src/__tests__/published-item-receiver.test.ts
+++ b/packages/platform/src/__tests__/published-item-receiver.test.ts
@@ -8,14 +8,20 @@
 import {createCurrentConfiguration} from '@shallotpond/gateway/current-configuration';
 import {noopEventLog} from '@shallotpond/observability/event-log';
 import {createTargetDirectory} from '@shallotpond/policy-routing/target-directory';
-import {readClockOffset} from '@shallotpond/kernel/clock';
-import {createManualClock} from '@shallotpond/testkit/manual-clock';
+import {readClockOffset, type Clock} from '@shallotpond/kernel/clock';
+import {createManualClock, type ManualClock} from '@shallotpond/testkit/manual-clock';
 import {createPublishedItemReceiver} from '../published-item-receiver.js';
 
 const encode = (value: unknown) => Buffer.from(JSON.stringify(value)).toString('base64');
 
-function createFixture() {
-	const clock = createManualClock({start: 10_000});
+/** Timers of the clock fire `timerError` milliseconds early, as those of the runtime may. */
+function createFixture(timerError = 0) {
+	const manualClock = createManualClock({start: 10_000});
+	const clock: Pick<ManualClock, 'advance'> & Clock = {
+		...manualClock,
+		after: (delay, callback) =>
+			manualClock.after(delay > timerError ? delay - timerError : delay, callback),
+	};
 	const returned: string[] = [];
 	const configuration = createCurrentConfiguration({
 		clock,
@@ -127,6 +133,7 @@
 		});
 
 		test('an evacuation that is missing is held until the operator had time to write it again, and then ends', () => {
+			fixture = createFixture(0.5);
 			fixture.receiver.takeSnapshot([configurationItem(1), evacuation], 0);
 			fixture.receiver.takeSnapshot([configurationItem(1)], 0, true);
 			fixture.clock.advance(9900);
@@ -155,8 +162,10 @@
 		test('a target whose entry is missing is kept until it had time to check in, without an outage', () => {
 			fixture.receiver.takeSnapshot([targetItem(1)], 0);
 			fixture.receiver.takeSnapshot([], 0, true);
+			fixture.clock.advance(500);
+			fixture.receiver.takeSnapshot([], 0);
 			expect(usable()).toEqual(['i-1@100']);
-			fixture.clock.advance(2000);
+			fixture.clock.advance(1500);
 			expect(usable()).toEqual([]);
 		});
 
@@ -180,6 +189,8 @@
 			fixture.receiver.takeChange(targetItem(1, 200));
 			fixture.receiver.takeSnapshot([targetItem(4)], 0, true);
 			expect(usable()).toEqual(['i-1@200']);
+			fixture.receiver.takeSnapshot([targetItem(4)], 0);
+			expect(usable()).toEqual(['i-1@200']);
 		});
 
 		test('a removed target that checks in again, and the next start of a draining one, get requests', () => {
--- a/packages/platform/src/__tests__/wire-names.test.ts
+++ b/packages/platform/src/__tests__/wire-names.test.ts
@@ -8,7 +8,7 @@
 
 const packages = path.join(import.meta.dirname, '..', '..', '..');
 const wireNames =
-	/x-shallotpond-|\/api\/(?:ready|kv)|op\/config|op\/evacuate|api_keys|rate_per_s|traffic_split|cold_remaining_ms|target_latency_ms|as_of/i;
+	/x-shallotpond-|\/api\/(?:ready|kv)|op\/config|op\/evacuate|api_keys|rate_per_s|traffic_split|cold_remaining_ms|target_latency_ms|as_of|store-era(?!-)/i;
 
 test('no source outside the adapter contains a wire name', () => {
 	const found: string[] = [];
--- a/packages/platform/src/published-item-receiver.ts
+++ b/packages/platform/src/published-item-receiver.ts
@@ -70,6 +70,9 @@
 	 * entry may be older than what was known of its target.
 	 */
 	let mayBeOlderCopy = false;
+	/** Monotonic milliseconds until which targets that an older copy lacks are kept. */
+	let copyGraceEnd = Number.NEGATIVE_INFINITY;
+	let cancelHoldEnd: () => void = () => undefined;
 
 	function logInvalidEntry(key: string, error: unknown): void {
 		log.write('store-entry-refused', {entry: key, error: String(error)});
@@ -160,10 +163,19 @@
 		}
 	}
 
-	/** Puts the end of held evacuations in force, of which the store sends no change. */
-	function scheduleHoldEnds(): void {
-		for (const [, remaining] of evacuations.held(clock.monotonic())) {
-			clock.after(remaining, adoptConfiguration);
+	/**
+	 * Puts the end of held evacuations in force, of which the store sends no change. A timer that
+	 * fires early is set again.
+	 */
+	function scheduleHoldEnd(): void {
+		cancelHoldEnd();
+		const held = evacuations.held(clock.monotonic());
+		if (held.length > 0) {
+			const next = Math.min(...held.map(([, remaining]) => remaining));
+			cancelHoldEnd = clock.after(next, () => {
+				adoptConfiguration();
+				scheduleHoldEnd();
+			});
 		}
 	}
 
@@ -243,8 +255,15 @@
 
 	return {
 		takeSnapshot(items, outageDuration, isNewEra = false) {
-			const isAfterOutage = isNewEra || outageDuration > outageThreshold;
-			mayBeOlderCopy ||= isNewEra;
+			const now = clock.monotonic();
+			if (isNewEra) {
+				mayBeOlderCopy = true;
+				copyGraceEnd = now + missingEntryGrace;
+			}
+
+			// Another snapshot may follow while the targets check in again.
+			const grace =
+				outageDuration > outageThreshold ? missingEntryGrace : Math.max(0, copyGraceEnd - now);
 			listedConfigurationValue = undefined;
 			const evacuatedDomains: string[] = [];
 			const targets: Array<TargetEntry & {readonly value: string}> = [];
@@ -254,7 +273,8 @@
 					if (target !== undefined) {
 						recordDepartures(target);
 						// An older copy may have an entry that is older than the known one.
-						const isOlder = isNewEra && isOutdated(target);
+						const isOlder =
+							mayBeOlderCopy && target.startTime !== unknownStartTime && isOutdated(target);
 						targets.push(isOlder ? listed.get(target.id)! : withDeparture(target));
 					}
 				} else if (item.key.startsWith(storeKeys.evacuationPrefix)) {
@@ -270,10 +290,10 @@
 				listed.set(target.id, target);
 			}
 
-			evacuations.replace(evacuatedDomains, isNewEra, clock.monotonic());
-			directory.replace(targets, isAfterOutage ? missingEntryGrace : 0, clock.monotonic());
+			evacuations.replace(evacuatedDomains, isNewEra, now);
+			directory.replace(targets, grace, now);
 			adoptConfiguration();
-			scheduleHoldEnds();
+			scheduleHoldEnd();
 		},
 		takeChange(item) {
 			if (item.key.startsWith(storeKeys.targetPrefix)) {
@@ -315,6 +335,10 @@
 			return retained;
 		},
 		takeRetainedItems(items) {
+			if (items.length === 0) {
+				return;
+			}
+
 			mayBeOlderCopy = true;
 			const now = clock.monotonic();
 			for (const {key, value, state, expiresIn} of items) {
@@ -328,7 +352,7 @@
 			}
 
 			adoptConfiguration();
-			scheduleHoldEnds();
+			scheduleHoldEnd();
 		},
 	};
 }
