--- a/packages/platform/src/stand-in-encoding.ts
+++ b/packages/platform/src/stand-in-encoding.ts
@@ -59,6 +59,8 @@
 	/** `ip:port`. */
 	readonly store: string;
 	readonly terms: PlatformBounds;
+	/** Memory, MB, and file descriptors that the process may use; not encoded if absent. */
+	readonly limits?: {readonly memory: number; readonly descriptors: number};
 };
 
 export const storeKeyOf = {
@@ -146,9 +148,14 @@
 }
 
 export function encodeSettings(settings: StandInSettings): unknown {
-	const {address} = settings;
+	const {address, limits} = settings;
 	return {
-		self: {node: settings.name, ip: address, zone: settings.failureDomain},
+		self: {
+			node: settings.name,
+			ip: address,
+			zone: settings.failureDomain,
+			...(limits && {limits: {memory_mb: limits.memory, max_fds: limits.descriptors}}),
+		},
 		network: {
 			listen: {
 				front: `${address}:${settings.callersPort}`,
