--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -294,6 +294,9 @@
 				confirmedAgo: Math.round(configuration.confirmedAgo()),
 			}),
 		}),
+		onMemoryChange({isLow, heldBytes, connections}) {
+			log.write(isLow ? 'memory-low' : 'memory-regained', {heldBytes, connections});
+		},
 		onInternalError(error) {
 			metrics.count('internal-errors');
 			log.write('internal-error', {error: String(error)});
--- /dev/null
+++ b/packages/io-http/src/caller-connection.ts
@@ -0,0 +1,196 @@
+/**
+ * One connection of a caller: its requests, the memory they hold, and whether further ones may be
+ * parsed. A connection whose responses stay unread, or that sends too many requests ahead, is read
+ * no further until one of its responses has been read.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {type Cancellation} from './cancellation.js';
+import {type MemoryAccount, type MemoryHolder} from './memory-account.js';
+import {createReadGate} from './read-gate.js';
+
+/** A request whose response is not closed. */
+export type OpenRequest = {
+	/** Counts memory that the request newly holds, estimated bytes. */
+	hold(bytes: number): void;
+	/** Notes that the request is passed on to a target. */
+	setForwarded(): void;
+};
+
+export type CallerConnection = {
+	readonly requests: Set<Cancellation>;
+	/** Bytes that had been read and parsed when the latest response was written, or undefined. */
+	readonly servedBytes: number | undefined;
+	/** Whether bytes that were read wait until further requests may be parsed. */
+	readonly isReadingAhead: boolean;
+	/** Monotonic milliseconds. */
+	readonly openedAt: number;
+	/** Set when a problem closes the connection; later requests on it are ignored. */
+	isClosing: boolean;
+	/** To be called for each request that the parser delivers. */
+	begin(request: IncomingMessage, response: ServerResponse): OpenRequest;
+	/** Whether a target works on one of the requests. */
+	readonly isBusy: boolean;
+	/**
+	 * Updates the account with the bytes of responses that the caller has not read. Returns since
+	 * when (monotonic milliseconds) it has read none of them; `now` if none wait.
+	 */
+	countUnread(now: number): number;
+	/** To be called when the socket has closed. */
+	close(): void;
+};
+
+export type CallerConnectionOptions = {
+	readonly socket: Socket;
+	readonly account: MemoryAccount;
+	/** Monotonic milliseconds. */
+	readonly openedAt: number;
+	/** Requests in progress from which further ones are not parsed. */
+	readonly maxPipelinedRequests: number;
+	/** Closes the connection, because it holds more memory than any other. */
+	readonly evict: () => void;
+};
+
+/** Estimated bytes of the objects of an open connection: 18 KiB resident, 8 of them in the heap. */
+export const connectionCost = 8192;
+/** Estimated bytes of the objects of a request in progress, with its attempt at a target. */
+const requestCost = 12_288;
+/** What a caller holds with one request in progress, its body and its response, estimated bytes. */
+export const ordinaryCost = 131_072;
+/**
+ * Bytes of heads that are parsed at once: enough for the head of most requests, and at most a few
+ * dozen of the smallest ones.
+ */
+const headPartBytes = 1024;
+/** The same within a body. */
+const bodyPartBytes = 16_384;
+
+export function createCallerConnection(options: CallerConnectionOptions): CallerConnection {
+	const {socket, account, maxPipelinedRequests} = options;
+	const requests = new Set<Cancellation>();
+	const responses = new Set<ServerResponse>();
+	const forwarded = new Set<ServerResponse>();
+	let latestRequest: IncomingMessage | undefined;
+	let servedBytes: number | undefined;
+	let unreadBytes = 0;
+	let heldBackBytes = 0;
+	let isClosing = false;
+	/** Bytes of responses that have left the process, and when that number last changed. */
+	let sentBytes = 0;
+	let sentAt = options.openedAt;
+
+	// A response that is only unread is no work of a target any more.
+	const isBusy = () => [...forwarded].some(response => !response.writableEnded);
+
+	const holder: MemoryHolder = account.open({
+		evict: options.evict,
+		isBusy,
+		onRelief() {
+			gate.update();
+		},
+	});
+
+	/** Whether the parser is within a body that nobody reads at the moment. */
+	function isBodyBlocked(): boolean {
+		return (
+			latestRequest !== undefined &&
+			!latestRequest.complete &&
+			latestRequest.readableFlowing !== true
+		);
+	}
+
+	function mayParse(): boolean {
+		const maxRequests = account.isLow ? 1 : maxPipelinedRequests;
+		const isWithinBody = latestRequest?.complete === false;
+		// The body of the latest request may arrive although no further request is parsed.
+		const hasRoom = isWithinBody || responses.size < maxRequests;
+		return !isClosing && hasRoom && !isBodyBlocked() && !(account.isLow && holder.isLarge);
+	}
+
+	const gate = createReadGate(socket, {
+		isOpen: mayParse,
+		isDiscarding: () => isClosing,
+		partBytes: () => (latestRequest?.complete === false ? bodyPartBytes : headPartBytes),
+		onHeldChange(bytes) {
+			heldBackBytes += bytes;
+			holder.change(bytes);
+		},
+	});
+
+	function countUnread(): void {
+		let bytes = 0;
+		for (const response of responses) {
+			bytes += response.writableLength;
+		}
+
+		const change = bytes - unreadBytes;
+		unreadBytes = bytes;
+		holder.change(change);
+	}
+
+	function unreadSince(now: number): number {
+		const sent = socket.bytesWritten - socket.writableLength;
+		if (socket.writableLength === 0 || sent !== sentBytes) {
+			sentBytes = sent;
+			sentAt = now;
+		}
+
+		return sentAt;
+	}
+
+	holder.change(connectionCost);
+	return {
+		requests,
+		openedAt: options.openedAt,
+		get servedBytes() {
+			return servedBytes;
+		},
+		get isReadingAhead() {
+			return heldBackBytes > 0;
+		},
+		get isClosing() {
+			return isClosing;
+		},
+		set isClosing(value) {
+			isClosing = value;
+		},
+		begin(request, response) {
+			let heldBytes = requestCost;
+			latestRequest = request;
+			responses.add(response);
+			request.on('resume', gate.update);
+			response.once('close', () => {
+				responses.delete(response);
+				forwarded.delete(response);
+				holder.change(-heldBytes);
+				countUnread();
+				servedBytes = socket.bytesRead - heldBackBytes;
+				gate.update();
+			});
+			holder.change(heldBytes);
+			return {
+				hold(bytes) {
+					if (responses.has(response)) {
+						heldBytes += bytes;
+						holder.change(bytes);
+					}
+				},
+				setForwarded() {
+					forwarded.add(response);
+				},
+			};
+		},
+		get isBusy() {
+			return isBusy();
+		},
+		countUnread(now) {
+			countUnread();
+			return unreadSince(now);
+		},
+		close() {
+			holder.close();
+			responses.clear();
+			forwarded.clear();
+		},
+	};
+}
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -8,12 +8,19 @@
 import {type Duplex} from 'node:stream';
 import {TLSSocket} from 'node:tls';
 import {type Clock} from '@shallotpond/kernel/clock';
+import {
+	connectionCost,
+	createCallerConnection,
+	ordinaryCost,
+	type CallerConnection,
+} from './caller-connection.js';
 import {createCancellation, type Cancellation} from './cancellation.js';
 import {createForwarder, type ForwardResult} from './forwarder.js';
 import {HttpError} from './http-error.js';
 import {noopCounters, type HttpCounters} from './http-counters.js';
 import {defaultHttpLimits, type HttpLimits} from './http-limits.js';
 import {createKeyWithdrawalWatch} from './key-withdrawal-watch.js';
+import {createMemoryAccount} from './memory-account.js';
 import {
 	createProblem,
 	formatRawProblem,
@@ -50,6 +57,8 @@
 	 * default: never.
 	 */
 	readonly isTrustedForwarder?: (address: string) => boolean;
+	/** Called when the memory for callers has become low, and when it is no longer low. */
+	readonly onMemoryChange?: (state: CallerMemory) => void;
 	/** Called with errors that no caller or target should be able to cause. */
 	readonly onInternalError?: (error: unknown) => void;
 };
@@ -90,12 +99,12 @@
 	stop(): Promise<void>;
 };
 
-type CallerConnection = {
-	readonly requests: Set<Cancellation>;
-	/** Bytes that had been read when the latest response was written; undefined before the first. */
-	servedBytes: number | undefined;
-	/** Set when a problem closes the connection; later requests on it are ignored. */
-	isClosing: boolean;
+export type CallerMemory = {
+	readonly isLow: boolean;
+	/** Estimated bytes that callers make the process hold. */
+	readonly heldBytes: number;
+	/** Open connections of callers. */
+	readonly connections: number;
 };
 
 /* eslint-disable @typescript-eslint/naming-convention -- error codes of Node */
@@ -118,6 +127,7 @@
 	'internal-error',
 	'invalid-host',
 	'malformed-request',
+	'overloaded',
 	'request-timeout',
 	'upgrade-refused',
 	'url-too-long',
@@ -130,6 +140,15 @@
 const abandonTimeoutMs = 150;
 const abandonCheckIntervalMs = 10;
 
+/** Milliseconds between two counts of the bytes of responses that callers have not read. */
+const unreadCountIntervalMs = 250;
+/** Milliseconds after which a request that is refused for want of memory may be served. */
+const overloadedRetryAfterMs = 300;
+/** Fraction of the memory for callers that the objects of their connections may take. */
+const maxConnectionFraction = 0.4;
+/** Milliseconds that a connection keeps its place in any case when all places are taken. */
+const minPlaceTimeMs = 1000;
+
 /** Declared bytes of a refused, unread body up to which its connection stays open. */
 const maxDrainedBodyBytes = 65_536;
 
@@ -166,6 +185,27 @@
 	});
 	const callerConnections = new Map<Duplex, CallerConnection>();
 	const activeRequests = new Set<Cancellation>();
+	const account = createMemoryAccount({
+		limit: limits.maxHeldBytes,
+		ordinaryBytes: ordinaryCost,
+		idleBytes: connectionCost,
+		onLowChange(isLow) {
+			if (isLow) {
+				counters.increment('memory-shortages');
+			}
+
+			const {held: heldBytes} = account;
+			options.onMemoryChange?.({isLow, heldBytes, connections: callerConnections.size});
+		},
+	});
+	const maxConnections = Math.max(
+		1,
+		Math.min(
+			limits.maxCallerConnections,
+			Math.floor((limits.maxHeldBytes * maxConnectionFraction) / connectionCost),
+		),
+	);
+	let stopCountingUnread: (() => void) | undefined;
 	let isLeaving = false;
 	let latestDeadline = Number.POSITIVE_INFINITY;
 
@@ -235,6 +275,10 @@
 		}
 
 		const {requests} = connection;
+		const openRequest = connection.begin(request, response);
+		if (request.socket.destroyed) {
+			return;
+		}
 
 		// Checked before the parser continues, so that no request behind a refused head is run.
 		const check = checkRequestHead(request, limits);
@@ -243,8 +287,9 @@
 			return;
 		}
 
-		if (requests.size >= limits.maxPipelinedRequests) {
-			closeConnection(request.socket, 'pipelined-requests');
+		if (account.isExhausted) {
+			const problem = createProblem('overloaded', 'not-run', overloadedRetryAfterMs);
+			respondWithProblem(request, response, problem);
 			return;
 		}
 
@@ -254,14 +299,21 @@
 		response.once('close', () => {
 			requests.delete(cancellation);
 			activeRequests.delete(cancellation);
-			connection.servedBytes = request.socket.bytesRead;
 		});
 		// The reader of the body, if any, handles these errors; unhandled, they would end the process.
 		request.on('error', () => undefined);
 		response.on('error', () => undefined);
 		try {
 			const {head} = check;
-			const received = {request, response, cancellation, head, expectsContinue};
+			const received = {
+				request,
+				response,
+				cancellation,
+				head,
+				expectsContinue,
+				onHeld: openRequest.hold,
+				onForward: openRequest.setForwarded,
+			};
 			finish(request, response, await handler.handleRequest(received));
 		} catch (error) {
 			options.onInternalError?.(error);
@@ -276,11 +328,56 @@
 		}
 	}
 
+	/**
+	 * How much is lost with a connection, the least first: one that never had a request, one without
+	 * a request in progress, one with requests that were not passed on. Undefined if more is lost.
+	 */
+	function lossRankOf({requests, servedBytes, isBusy}: CallerConnection): number | undefined {
+		if (requests.size === 0) {
+			return servedBytes === undefined ? 0 : 1;
+		}
+
+		return isBusy ? undefined : 2;
+	}
+
+	/** Closes a connection that can be spared, the oldest of its rank, so that others find a place. */
+	function makeRoom(): void {
+		const openedBefore = clock.monotonic() - minPlaceTimeMs;
+		let spared: Duplex | undefined;
+		let sparedRank = Number.POSITIVE_INFINITY;
+		for (const [socket, connection] of callerConnections) {
+			// The connections are in the order in which they were opened.
+			if (connection.openedAt > openedBefore || sparedRank === 0) {
+				break;
+			}
+
+			const rank = lossRankOf(connection) ?? Number.POSITIVE_INFINITY;
+			if (rank < sparedRank) {
+				spared = socket;
+				sparedRank = rank;
+			}
+		}
+
+		if (spared !== undefined) {
+			closeConnection(spared, 'no-place');
+		}
+	}
+
 	function addConnection(socket: Socket): void {
-		const requests = new Set<Cancellation>();
-		callerConnections.set(socket, {requests, servedBytes: undefined, isClosing: false});
+		const connection = createCallerConnection({
+			socket,
+			account,
+			openedAt: clock.monotonic(),
+			maxPipelinedRequests: limits.maxPipelinedRequests,
+			evict() {
+				closeConnection(socket, 'memory');
+			},
+		});
+		const {requests} = connection;
+		callerConnections.set(socket, connection);
 		socket.once('close', () => {
 			callerConnections.delete(socket);
+			connection.close();
 			for (const cancellation of requests) {
 				cancellation.cancel('caller-gone');
 				activeRequests.delete(cancellation);
@@ -288,6 +385,9 @@
 
 			requests.clear();
 		});
+		if (callerConnections.size >= maxConnections) {
+			makeRoom();
+		}
 	}
 
 	function refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex): void {
@@ -297,6 +397,11 @@
 			return;
 		}
 
+		if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && connection?.isReadingAhead === true) {
+			// The rest of the request has arrived and waits for a response to be read.
+			return;
+		}
+
 		const requests = connection?.requests.size ?? 0;
 		if (error.code === 'ECONNRESET' || !socket.writable || requests > 0) {
 			// A response now could be taken for the response to a request in progress.
@@ -317,6 +422,15 @@
 		socket.end(formatRawProblem(createProblem('method-refused')));
 	}
 
+	function countUnread(): void {
+		const now = clock.monotonic();
+		for (const [socket, connection] of callerConnections) {
+			if (now - connection.countUnread(now) > limits.callerStallTimeout) {
+				closeConnection(socket, 'unread');
+			}
+		}
+	}
+
 	const serverOptions: http.ServerOptions = {
 		// eslint-disable-next-line @typescript-eslint/naming-convention -- option name of Node
 		insecureHTTPParser: false,
@@ -339,7 +453,7 @@
 				});
 	// Node would silently drop headers above its maximum number; `checkRequestHead` refuses them.
 	server.maxHeadersCount = 0;
-	server.maxConnections = limits.maxCallerConnections;
+	server.maxConnections = maxConnections;
 	if (server instanceof https.Server) {
 		tls?.onReload(current => {
 			server.setSecureContext(current);
@@ -354,6 +468,7 @@
 		void serve(request, response, true);
 	});
 	server.on('checkExpectation', (request, response) => {
+		callerConnections.get(request.socket)?.begin(request, response);
 		const check = checkRequestHead(request, limits);
 		const code = check.kind === 'bad' ? check.code : 'expectation-refused';
 		respondWithProblem(request, response, createProblem(code));
@@ -379,6 +494,7 @@
 				});
 				server.listen(options.port, options.address, () => {
 					server.removeAllListeners('error');
+					stopCountingUnread = clock.every(unreadCountIntervalMs, countUnread);
 					resolve();
 				});
 			});
@@ -442,6 +558,7 @@
 				});
 			});
 			server.close();
+			stopCountingUnread?.();
 			keyWatch.stop();
 			connections.close();
 		},
--- a/packages/io-http/src/http-counters.ts
+++ b/packages/io-http/src/http-counters.ts
@@ -4,6 +4,8 @@
 	| 'refusals'
 	/** Caller connections closed without a response; the label is the reason. */
 	| 'closed-connections'
+	/** Times at which the memory for callers became low. */
+	| 'memory-shortages'
 	/** Attempts at targets; the label is the result. */
 	| 'attempts'
 	/** Attempts to resume an interrupted download at another target. */
@@ -21,6 +23,7 @@
 export const httpCounterLabels: Readonly<Record<HttpCounterName, string | undefined>> = {
 	refusals: 'code',
 	'closed-connections': 'reason',
+	'memory-shortages': undefined,
 	attempts: 'result',
 	resumes: undefined,
 	'reset-answers': 'reason',
--- a/packages/io-http/src/http-limits.ts
+++ b/packages/io-http/src/http-limits.ts
@@ -23,8 +23,16 @@
 	readonly connectionCheckInterval: number;
 	/** Maximum open caller connections. */
 	readonly maxCallerConnections: number;
-	/** Maximum requests in progress on one caller connection (pipelining). */
+	/**
+	 * Requests in progress on one caller connection from which further ones are not parsed until a
+	 * response has been read (pipelining).
+	 */
 	readonly maxPipelinedRequests: number;
+	/**
+	 * Maximum estimated bytes of memory that all callers together make the process hold, with their
+	 * connections, requests and unread responses; see `memory-account`.
+	 */
+	readonly maxHeldBytes: number;
 	/** Maximum bytes of a request body held in memory, so that the request can be sent again. */
 	readonly maxBufferedRequestBytes: number;
 	/**
@@ -75,6 +83,7 @@
 	connectionCheckInterval: 1000,
 	maxCallerConnections: 10_000,
 	maxPipelinedRequests: 16,
+	maxHeldBytes: 268_435_456,
 	maxBufferedRequestBytes: 65_536,
 	maxHeldResponseBytes: 16_384,
 	maxTotalHeldResponseBytes: 67_108_864,
--- a/packages/io-http/src/problem-response.ts
+++ b/packages/io-http/src/problem-response.ts
@@ -33,6 +33,7 @@
 	'connection-broken': {status: 502, title: 'The connection to the target broke'},
 	'target-shed': {status: 503, title: 'The target refused the request because of its load'},
 	'not-ready': {status: 503, title: 'The instance has no configuration yet'},
+	overloaded: {status: 503, title: 'The instance holds too many unfinished requests'},
 	stopping: {status: 503, title: 'The instance is stopping'},
 	isolated: {status: 503, title: 'The instance cannot verify keys at the moment'},
 	cancelled: {status: 503, title: 'The request was cancelled'},
--- a/packages/io-http/src/request-body.ts
+++ b/packages/io-http/src/request-body.ts
@@ -7,6 +7,7 @@
 import {type IncomingMessage, type ClientRequest} from 'node:http';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {checkHeaderSyntax} from '@shallotpond/kernel/header-syntax';
+import {createChunkCollector, type ChunkCollector} from './chunk-collector.js';
 import {createIdleTimer} from './idle-timer.js';
 import {type ProblemCode} from './problem-response.js';
 
@@ -47,6 +48,8 @@
 	readonly maxBytes: number;
 	/** Maximum silence of the caller, milliseconds. */
 	readonly idleTimeout: number;
+	/** Called with the estimated bytes of memory that the body newly holds. */
+	readonly onHeld?: (bytes: number) => void;
 };
 
 const emptyBody: RequestBody = {
@@ -103,10 +106,39 @@
 	return {stop, fail, timer};
 }
 
+/** Bytes from which a chunk is sent on by itself; smaller ones are joined as they arrive. */
+const minSentBytes = 1024;
+
+/** Joins the small chunks that the parser finds in one part of the input, before they are sent. */
+function createChunkSender(send: (chunk: Uint8Array) => void) {
+	const pending = createChunkCollector();
+
+	function flush(): void {
+		if (pending.bytes > 0) {
+			send(pending.take());
+		}
+	}
+
+	return {
+		flush,
+		push(chunk: Uint8Array) {
+			if (pending.bytes === 0 && chunk.length >= minSentBytes) {
+				send(chunk);
+				return;
+			}
+
+			if (pending.bytes === 0) {
+				queueMicrotask(flush);
+			}
+
+			pending.push(chunk);
+		},
+	};
+}
+
 function createStreamedBody(
 	source: IncomingMessage,
-	heldChunks: readonly Uint8Array[],
-	heldBytes: number,
+	held: ChunkCollector,
 	options: RequestBodyOptions,
 ): RequestBody {
 	let isStarted = false;
@@ -118,29 +150,33 @@
 		},
 		sendTo(targetRequest, onFailure) {
 			isStarted = true;
-			let received = heldBytes;
-			for (const chunk of heldChunks) {
-				targetRequest.write(chunk);
-			}
+			let received = held.bytes;
+			targetRequest.write(held.take());
 
 			function resume(): void {
 				listening.timer.touch();
 				source.resume();
 			}
 
+			const sender = createChunkSender(chunk => {
+				if (!targetRequest.destroyed && !targetRequest.write(chunk)) {
+					source.pause();
+					listening.timer.suspend();
+					// Once the response is complete, the request itself emits no 'drain' any more.
+					targetRequest.socket?.once('drain', resume);
+				}
+			});
 			const listening = listen(source, options, {
 				data(chunk) {
 					received += chunk.length;
 					if (received > options.maxBytes) {
 						listening.fail('too-large');
-					} else if (!targetRequest.write(chunk)) {
-						source.pause();
-						listening.timer.suspend();
-						// Once the response is complete, the request itself emits no 'drain' any more.
-						targetRequest.socket?.once('drain', resume);
+					} else {
+						sender.push(chunk);
 					}
 				},
 				end() {
+					sender.flush();
 					targetRequest.end();
 				},
 				failure: onFailure,
@@ -187,22 +223,25 @@
 	}
 
 	return new Promise(resolve => {
-		const heldChunks: Uint8Array[] = [];
-		let heldBytes = 0;
+		const held = createChunkCollector();
 		const isLarge = (options.length ?? 0) > options.maxBufferedBytes;
 		const listening = listen(source, options, {
 			data(chunk) {
-				heldChunks.push(chunk);
-				heldBytes += chunk.length;
-				if (heldBytes > options.maxBytes) {
+				const costBefore = held.cost;
+				held.push(chunk);
+				if (held.cost > costBefore) {
+					options.onHeld?.(held.cost - costBefore);
+				}
+
+				if (held.bytes > options.maxBytes) {
 					listening.fail('too-large');
-				} else if (isLarge || heldBytes > options.maxBufferedBytes) {
+				} else if (isLarge || held.bytes > options.maxBufferedBytes) {
 					listening.stop();
-					resolve(createStreamedBody(source, heldChunks, heldBytes, options));
+					resolve(createStreamedBody(source, held, options));
 				}
 			},
 			end() {
-				resolve(createWholeBody(Buffer.concat(heldChunks, heldBytes)));
+				resolve(createWholeBody(held.take()));
 			},
 			failure: resolve,
 		});
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -56,6 +56,10 @@
 	readonly head: RequestHead;
 	/** Whether the caller waits for `100 Continue` before it sends the body. */
 	readonly expectsContinue: boolean;
+	/** Called with the estimated bytes of memory that the request newly holds. */
+	readonly onHeld: (bytes: number) => void;
+	/** Called when the request is about to be passed on to targets. */
+	readonly onForward: () => void;
 };
 
 export type RequestHandler = {
@@ -262,6 +266,7 @@
 			maxBufferedBytes: limits.maxBufferedRequestBytes,
 			maxBytes: route.largestRequestBody,
 			idleTimeout: limits.bodyIdleTimeout,
+			onHeld: received.onHeld,
 		});
 	}
 
@@ -319,6 +324,7 @@
 			return {kind: 'problem', problem: claimed};
 		}
 
+		received.onForward();
 		let result: ForwardResult | undefined;
 		try {
 			result = await forwarder.forward({
--- a/packages/observability/src/admin-listener.ts
+++ b/packages/observability/src/admin-listener.ts
@@ -47,6 +47,15 @@
 	body: `${JSON.stringify(value)}\n`,
 });
 
+/** Bounds what clients can make the listener hold. Operators and balancers use a few connections. */
+const maxConnections = 128;
+const serverLimits = {
+	maxHeaderSize: 8192,
+	headersTimeout: 5000,
+	requestTimeout: 5000,
+	connectionsCheckingInterval: 1000,
+} as const;
+
 export function createAdminListener(options: AdminListenerOptions): AdminListener {
 	const {drain, readyPath = '/ready'} = options;
 	const handlers: Record<string, () => Promise<HandlerResult> | HandlerResult> = {
@@ -90,10 +99,11 @@
 		}
 	}
 
-	const server: Server = createServer((request, response) => {
+	const server: Server = createServer(serverLimits, (request, response) => {
 		request.resume();
 		void handleSafely(request, response);
 	});
+	server.maxConnections = maxConnections;
 
 	return {
 		async start() {
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -33,6 +33,8 @@
 	| 'request'
 	| 'request-refused'
 	| 'request-broke-connection'
+	| 'memory-low'
+	| 'memory-regained'
 	| 'internal-error'
 	| 'lines-dropped';
 
--- a/packages/observability/src/structured-log.ts
+++ b/packages/observability/src/structured-log.ts
@@ -38,6 +38,7 @@
 	'target-suspected': 'warn',
 	'path-avoided': 'warn',
 	'service-narrowed': 'warn',
+	'memory-low': 'warn',
 	'internal-error': 'error',
 	'lines-dropped': 'warn',
 };
--- a/packages/platform/src/platform-program.ts
+++ b/packages/platform/src/platform-program.ts
@@ -3,6 +3,7 @@
  * platform's store and serves callers until a signal tells it to stop.
  */
 import process from 'node:process';
+import v8 from 'node:v8';
 import {createGateway, type Gateway} from '@shallotpond/gateway/gateway';
 import {createSystemClock, type Clock} from '@shallotpond/kernel/clock';
 import {type LogLevel} from '@shallotpond/observability/logger';
@@ -11,6 +12,7 @@
 import {createEventLog} from '@shallotpond/observability/structured-log';
 import {PlatformError} from '@shallotpond/io-platform/platform-error';
 import {parseSettings, formatSettingsHelp, SettingsError} from '@shallotpond/kernel/settings';
+import {limitsOfMachine} from './machine-limits.js';
 import {platformDialect} from './platform-dialect.js';
 import {programSettings, environmentPrefix} from './program-settings.js';
 import {createPublishedItemReceiver} from './published-item-receiver.js';
@@ -149,6 +151,7 @@
 		seeds: () => settings.seeds,
 		dialect: platformDialect,
 		httpLimits: {
+			...limitsOfMachine({...settings, heap: v8.getHeapStatistics().heap_size_limit}),
 			maxHeldResponseBytes,
 			targetIdleTimeout,
 			connectTimeout,
--- a/packages/platform/src/platform-settings.ts
+++ b/packages/platform/src/platform-settings.ts
@@ -34,6 +34,10 @@
 	 * platform does not require it.
 	 */
 	readonly revocationLimit: number | undefined;
+	/** Memory that the process may use, bytes; undefined if not specified. */
+	readonly memory: number | undefined;
+	/** Maximum open file descriptors of the process; undefined if not specified. */
+	readonly descriptors: number | undefined;
 	/** Milliseconds from SIGTERM to SIGKILL. */
 	readonly stopLimit: number;
 	/** Fraction of the healthy targets of a service that must stay in use, 0 to 1. */
@@ -57,6 +61,7 @@
 type Fields = Readonly<Record<string, unknown>>;
 
 const millisecondsPerSecond = 1000;
+const bytesPerMegabyte = 1_048_576;
 const maxPort = 65_535;
 
 function isPort(value: unknown): value is number {
@@ -151,6 +156,8 @@
 	// In the file, the settings of the store are the object `platform` inside the object `platform`.
 	const store = reader.object(reader.object(file, 'platform'), 'platform');
 	const bounds = reader.object(reader.object(file, 'terms'), 'bounds');
+	const limits = self.limits === undefined ? {} : reader.object(self, 'limits');
+	const memory = reader.optionalNumber(limits, 'memory_mb');
 	const settings: PlatformSettings = {
 		instance: reader.text(self, 'node'),
 		isFirstStart: self.bootstrap === true,
@@ -163,6 +170,8 @@
 		seeds: readSeeds(network),
 		store: reader.address(store, 'address'),
 		revocationLimit: bounds.strict_revoke === true ? reader.number(bounds, 'revoke_ms') : undefined,
+		memory: memory === undefined ? undefined : memory * bytesPerMegabyte,
+		descriptors: reader.optionalNumber(limits, 'max_fds'),
 		stopLimit: reader.number(bounds, 'grace_s') * millisecondsPerSecond,
 		floor: reader.optionalNumber(bounds, 'floor_share') ?? defaultFloor,
 		retryBudget: {
--- a/packages/shallotpond/src/daemon-settings.ts
+++ b/packages/shallotpond/src/daemon-settings.ts
@@ -83,6 +83,14 @@
 		description: 'Maximum time that a stopping instance waits for requests to end.',
 		default: '600000',
 	}),
+	'caller-memory': numberSetting(
+		{min: 16, max: 65_536, unit: 'MiB'},
+		{
+			description:
+				'Memory that callers may make the process hold; beyond it, connections are closed.',
+			default: '256',
+		},
+	),
 	'log-format': choiceSetting(logFormats, {description: 'Format of log lines.', default: 'json'}),
 	'log-level': choiceSetting(logLevels, {
 		description: 'Minimum level of log lines.',
--- a/packages/shallotpond/src/daemon.ts
+++ b/packages/shallotpond/src/daemon.ts
@@ -17,6 +17,8 @@
 import {type DaemonSettings} from './daemon-settings.js';
 import {createInstance} from './instance.js';
 
+const bytesPerMebibyte = 1_048_576;
+
 type ControlMessage = {readonly kind: 'reload-certificates'};
 
 async function readText(path: string): Promise<string> {
@@ -114,7 +116,10 @@
 		...(targetAuthorityPath !== undefined && {
 			targetTls: {authorities: await readText(targetAuthorityPath)},
 		}),
-		httpLimits: {stopTimeout: settings['drain-limit']},
+		httpLimits: {
+			stopTimeout: settings['drain-limit'],
+			maxHeldBytes: settings['caller-memory'] * bytesPerMebibyte,
+		},
 		drainGrace: settings['drain-grace'],
 		clock: createSystemClock(),
 		random: Math.random,
--- a/packages/shallotpond/src/instance.ts
+++ b/packages/shallotpond/src/instance.ts
@@ -196,6 +196,10 @@
 		tracer: createRequestTracer({tracing, metrics, clock}),
 		...(options.tls && {tls: options.tls}),
 		...(options.targetTls && {targetTls: options.targetTls}),
+		onMemoryChange({isLow, heldBytes, connections}) {
+			const text = isLow ? 'memory for callers is low' : 'memory for callers is no longer low';
+			logger.warn(text, {heldBytes, connections});
+		},
 		onInternalError(error) {
 			metrics.count('internal-errors');
 			logger.error('a request failed with an unexpected error', {error: String(error)});
