--- a/packages/shallotpond/src/__tests__/main.test.ts
+++ b/packages/shallotpond/src/__tests__/main.test.ts
@@ -121,6 +121,7 @@
 			'target-tls-authority': '',
 			'drain-grace': 'soon',
 			'drain-limit': '-1',
+			'caller-memory': '0',
 			'log-format': 'xml',
 			'log-level': 'loud',
 			'trace-endpoint': '127.0.0.1:4318',
