--- a/packages/policy-routing/src/__tests__/reported-target-loads.test.ts
+++ b/packages/policy-routing/src/__tests__/reported-target-loads.test.ts
@@ -82,7 +82,7 @@
 			service: 'orders',
 			candidates: targets,
 			excluded: [],
-			isIdempotent: false,
+			isRepeatable: false,
 			responseBytes: 1000,
 			floor: 0,
 			now,
