--- a/packages/configuration/src/__tests__/reference.test.ts
+++ b/packages/configuration/src/__tests__/reference.test.ts
@@ -5,6 +5,7 @@
 import {readFileSync} from 'node:fs';
 import {expect, test} from '@jest/globals';
 import {z} from 'zod';
+import {checkConfiguration} from '../configuration-check.js';
 import {digestKey} from '../key-digest.js';
 import {documentSchema} from '../document-schema.js';
 import {parseDocument} from '../parse-document.js';
@@ -67,4 +68,5 @@
 	const example = /```json\n(.*?)\n```/s.exec(reference)![1]!;
 	const document = parseDocument(JSON.parse(example));
 	expect(document.workspaces['beach-north']!.keyDigests).toEqual([digestKey('example-key')]);
+	expect(checkConfiguration({input: document}).findings).toEqual([]);
 });
--- a/packages/shallotctl/src/__tests__/shallotctl.test.ts
+++ b/packages/shallotctl/src/__tests__/shallotctl.test.ts
@@ -168,6 +168,34 @@
 		expect(await run(['check', join(directory, 'none.json')])).toMatchObject({code: 2});
 	});
 
+	test('check compares with the version in force, and warnings refuse only with --strict', async () => {
+		const current = await writeTestFile('current.json', validDocument);
+		const next = {...validDocument, version: 8, failureDomains: {north: {}, south: {}, west: {}}};
+		const nextFile = await writeTestFile('next.json', next);
+		const warned = await run(['check', nextFile, '--current', current]);
+		expect(warned).toMatchObject({code: 0, errors: ''});
+		expect(warned.out.split('\n').slice(2)).toEqual([
+			'warning failure-domain-unused: failureDomains.west: no target is in failure domain "west"',
+			'difference: version: 7 -> 8',
+			'difference: failure domain west added',
+		]);
+		expect(await run(['check', nextFile, '--strict'])).toMatchObject({code: 1, errors: ''});
+		expect(await run(['check', current, '--strict'])).toMatchObject({code: 0});
+		const json = await run(['check', nextFile, '--current', current, '--json']);
+		expect(JSON.parse(json.out)).toMatchObject({
+			valid: true,
+			problems: [],
+			findings: [{code: 'failure-domain-unused', severity: 'warning'}],
+			differences: {length: 2},
+		});
+		const stale = await run(['check', current, '--current', nextFile]);
+		expect(stale.code).toBe(1);
+		expect(stale.errors).toContain('version 7 is not above version 8');
+		const missing = await run(['check', current, '--current', join(directory, 'none.json')]);
+		expect(missing.code).toBe(2);
+		expect(missing.errors).toContain('--current: ');
+	});
+
 	test('patch prints the new document or the PATCH body, and rejects a stale base with both version numbers', async () => {
 		const file = await writeTestFile('base.json', validDocument);
 		const patch = await writeTestFile('patch.json', createDomainOutPatch('south'));
--- a/packages/shallotctl/src/document-files.ts
+++ b/packages/shallotctl/src/document-files.ts
@@ -50,10 +50,10 @@
 }
 
 /**
- * Reads and validates a configuration document. Rejects with a `ShallotctlError`: `usage` if the
+ * Reads and validates a configuration document. `label` names the operand or flag. Rejects with a `ShallotctlError`: `usage` if the
  * file cannot be read, `refused` with the problems if it is not a valid document.
  */
-export async function readDocument(path: string): Promise<ConfigurationDocument> {
-	const input = await readJsonFile(path, '<file>');
+export async function readDocument(path: string, label = '<file>'): Promise<ConfigurationDocument> {
+	const input = await readJsonFile(path, label);
 	return convertConfigurationErrors(path, () => parseDocument(input));
 }
--- a/packages/shallotctl/src/settings.ts
+++ b/packages/shallotctl/src/settings.ts
@@ -53,6 +53,13 @@
 		allowed: 'the path of a file',
 		parse: (text: string) => (text === '' ? undefined : text),
 	},
+	current: {
+		placeholder: 'file',
+		description: 'file with the document in force, to compare with',
+		allowed: 'the path of a file',
+		parse: (text: string) => (text === '' ? undefined : text),
+	},
+	strict: {...switchSetting('exit with code 1 for warnings too'), default: 'false'},
 	output: {
 		...choiceSetting(['document', 'patch'], {
 			description: 'print the new document, or the PATCH body to publish',
