--- a/packages/configuration/src/matching-checks.ts
+++ b/packages/configuration/src/matching-checks.ts
@@ -45,6 +45,29 @@
 	return [...ids];
 }
 
+/**
+ * A route that is the first of its prefix to accept one of its hosts is reachable without a look-up,
+ * whose time is linear in the routes with equal prefixes: 10,000 hosts with one prefix took 4 s.
+ */
+function findShadowedRoutes(document: ConfigurationDocument): Observation[] {
+	const tables = createLookupTables(document);
+	const hostsByPrefix = new Map<string, Set<string>>();
+	return document.routes.flatMap((route, index) => {
+		const {id, pathPrefix} = route;
+		const earlierHosts = hostsByPrefix.get(pathPrefix) ?? new Set<string>();
+		hostsByPrefix.set(pathPrefix, earlierHosts);
+		const hosts = orUnlisted(route.hosts);
+		const isFirst = hosts.some(host => !earlierHosts.has(host) && !earlierHosts.has(unlisted));
+		for (const host of hosts) {
+			earlierHosts.add(host);
+		}
+
+		const shadowingIds = isFirst ? [] : findShadowingRoutes(tables, route);
+		const message = `route "${id}" gets no requests: earlier routes with prefix "${pathPrefix}" take them all ("${shadowingIds.join('", "')}")`;
+		return shadowingIds.length === 0 ? [] : [{place: `routes[${index}].pathPrefix`, message}];
+	});
+}
+
 function inEachRoute(
 	find: (route: RouteDefinition, place: string, document: ConfigurationDocument) => Observation[],
 ): DocumentCheck['find'] {
@@ -108,19 +131,12 @@
 
 /**
  * In the order of the report. Linear in the size of the document, except `route-shadowed`, which is
- * quadratic in the number of routes with equal prefixes.
+ * quadratic in the number of routes that have equal prefixes and accept the same hosts.
  */
 export const matchingChecks = {
 	'route-shadowed': {
 		severity: 'warning',
-		find(document) {
-			const tables = createLookupTables(document);
-			return inEachRoute((route, place) => {
-				const ids = findShadowingRoutes(tables, route).map(id => `"${id}"`);
-				const message = `route "${route.id}" gets no requests: earlier routes with prefix "${route.pathPrefix}" take them all (${ids.join(', ')})`;
-				return ids.length === 0 ? [] : [{place: `${place}.pathPrefix`, message}];
-			})(document);
-		},
+		find: findShadowedRoutes,
 	},
 	'prefix-unmatchable': {
 		severity: 'warning',
