--- a/packages/gateway/src/gateway-request-policy.ts
+++ b/packages/gateway/src/gateway-request-policy.ts
@@ -21,6 +21,7 @@
 	type WorkspaceRateLimit,
 } from '@shallotpond/policy-routing/workspace-rate-limiter';
 import {type CurrentConfiguration} from './current-configuration.js';
+import {type HedgingService} from './hedging-service.js';
 import {latencyObjectiveOf, type RoutingService} from './routing-service.js';
 
 export type GatewayRequestPolicyOptions = {
@@ -33,6 +34,8 @@
 	readonly trafficSplit: TrafficSplit;
 	readonly roster: FleetRoster;
 	readonly crashes: CrashHistory;
+	/** Undefined if no request is hedged. */
+	readonly hedging: HedgingService | undefined;
 	readonly log: EventLog;
 	readonly metrics: Metrics;
 };
@@ -98,6 +101,7 @@
 		trafficSplit,
 		roster,
 		crashes,
+		hedging,
 		log,
 		metrics,
 	} = options;
@@ -157,8 +161,10 @@
 		},
 		countRequest(service) {
 			retryBudget.countRequest(service, clock.monotonic());
+			hedging?.countRequest(service);
 		},
 		suggestRetryAfter: route => drawRetryAfter(latencyObjectiveOf(route), random),
 		takeRetry: service => retryBudget.take(service, clock.monotonic()),
+		hedging,
 	};
 }
