--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -137,6 +137,8 @@
 
 type Progress = {
 	attempts: number;
+	/** Attempts for which no connection was established, so that nothing was sent. */
+	unreachedTargets: number;
 	crashes: number;
 	/** State of the request after all attempts so far, as `combineRunStates` computes it. */
 	runState: RunState;
@@ -162,6 +164,11 @@
  * may be what crashes the targets.
  */
 const maxCrashesPerRequest = 2;
+/**
+ * Targets without a connection that do not count as attempts of a request. Each may take the whole
+ * connect timeout.
+ */
+const maxUncountedTargets = 2;
 const minServerErrorStatus = 500;
 /** Methods whose requests are sent without `Content-Length: 0` if their body is empty. */
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
@@ -304,8 +311,10 @@
 	}
 
 	function hasAttemptsLeft(request: ForwardedRequest, progress: Progress): boolean {
+		const {attempts, unreachedTargets} = progress;
+		const countedAttempts = attempts - Math.min(unreachedTargets, maxUncountedTargets);
 		return (
-			progress.attempts < (request.route.attempts ?? limits.maxAttempts) &&
+			countedAttempts < (request.route.attempts ?? limits.maxAttempts) &&
 			progress.crashes < maxCrashesPerRequest &&
 			request.body.isReplayable &&
 			clock.monotonic() < progress.deadline
@@ -632,6 +641,10 @@
 			const result = race?.state === 'given-up' ? 'timeout' : attempt.result;
 			release(leg, {dispatchedAt, idleBefore}, result);
 			span.end(race?.state === 'lost' ? lostRaceResult : result, basis);
+			if (result === 'connection-failed') {
+				progress.unreachedTargets++;
+			}
+
 			if (result === 'connection-broken') {
 				progress.crashes++;
 				await permit.reportCrash(grant.target.id);
@@ -949,6 +962,7 @@
 		async forward(request) {
 			const progress: Progress = {
 				attempts: 0,
+				unreachedTargets: 0,
 				crashes: 0,
 				runState: 'not-run',
 				triedTargets: [],
