Show how long an instance stays behind the published state

Callers saw requests handled by an older configuration, and no line tells why an instance was late: failed reads were only counted, without their source.

`published-late` names the source and the time for which an instance knew of a newer state than its own, `published_lag` is the histogram of that time, and `published-read-failed` gives source, reason and duration of a failed read.

--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -13,10 +13,12 @@
 import {readClockOffset, type Clock} from '@shallotpond/kernel/clock';
 import {type KernelService} from '@shallotpond/kernel/kernel';
 import {type Random} from '@shallotpond/kernel/random';
+import {ShallotpondError} from '@shallotpond/kernel/shallotpond-error';
 import {type EventLog} from '@shallotpond/observability/event-log';
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {type ConfigurationState, type Member} from '@shallotpond/policy-fleet/fleet-message';
 import {type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
+import {createPublishedLag} from '@shallotpond/policy-fleet/published-lag';
 import {createPublishedLog, type PublishedItem} from '@shallotpond/policy-fleet/published-log';
 import {compareEras, comparePositions} from '@shallotpond/policy-fleet/published-position';
 import {type RetainedItem, type RetainedItemsReader} from '@shallotpond/policy-fleet/retained-item';
@@ -152,6 +154,10 @@
 const maxCollectionAgeMs = 1000;
 /** Delay after a first failed read, before a source is chosen again. */
 const switchDelayMs = 20;
+/** Lag behind a state that another instance reported from which it is logged. */
+const loggedLagMs = 1000;
+/** Name of the store as a source, in logs. */
+const storeName = 'store';
 
 export function createPublishedStateService(
 	options: PublishedStateServiceOptions,
@@ -167,6 +173,7 @@
 		seeds = () => [],
 	} = options;
 	const published = createPublishedLog();
+	const lag = createPublishedLag();
 	const sourceSelector = createSyncSourceSelector({
 		self: options.self,
 		roster: options.roster,
@@ -242,6 +249,18 @@
 		}
 	}
 
+	function recordProgress(source: string): void {
+		const caughtUpAfter = lag.recordProgress(position(), clock.monotonic());
+		if (caughtUpAfter === undefined) {
+			return;
+		}
+
+		metrics.recordDuration('published-lag', caughtUpAfter);
+		if (caughtUpAfter > loggedLagMs) {
+			log.write('published-late', {lag: Math.round(caughtUpAfter), source, ...position()});
+		}
+	}
+
 	function recordContact(confirmedAt: number, clockOffset: number): void {
 		lastContactAt = clock.monotonic();
 		receiver.confirm(confirmedAt, clockOffset);
@@ -257,6 +276,7 @@
 			const snapshotEra = snapshot.era ?? era;
 			refuseOlderEra(snapshotEra);
 			takeSnapshot(snapshot.items, snapshot.revision, snapshotEra);
+			recordProgress(storeName);
 			isSnapshotNeeded = false;
 			if (revision === undefined) {
 				await learnRetainedItems(signal);
@@ -278,6 +298,7 @@
 		}
 
 		takeChanges(changes.items, changes.revision, changesEra);
+		recordProgress(storeName);
 		hasStoreChanges = changes.items.length > 0;
 		// A response without changes that arrives after the full wait counts as sent at the end of the
 		// wait. Any other response confirms only the time of the request.
@@ -309,6 +330,7 @@
 			takeChanges(response.items, response.revision, response.era);
 		}
 
+		recordProgress(address);
 		// A member that still has the older era may know what the store lost.
 		if (response.retained !== undefined && published.revision !== undefined) {
 			receiver.takeRetainedItems(response.retained);
@@ -332,6 +354,14 @@
 		});
 	}
 
+	function logFailure(error: unknown, source: string, startedAt: number): void {
+		const code = error instanceof ShallotpondError ? error.code : 'failed';
+		if (code !== 'stopped') {
+			const ms = Math.round(clock.monotonic() - startedAt);
+			log.write('published-read-failed', {source, code, ms});
+		}
+	}
+
 	/**
 	 * Asks other members, at the start, for what the store may lack because it came back from an
 	 * older copy. Without their answer the state of the store is all that is known.
@@ -396,12 +426,14 @@
 				await waitForMembers();
 			}
 
-			const source = sourceSelector.choose(clock.monotonic());
+			const startedAt = clock.monotonic();
+			const source = sourceSelector.choose(startedAt);
 			hasStoreChanges = false;
 			try {
 				await read(source, signal);
 			} catch (error) {
 				sourceSelector.recordFailure(source, clock.monotonic());
+				logFailure(error, source.kind === 'store' ? storeName : source.address, startedAt);
 				if (source.kind === 'store') {
 					recordStoreState(true, String(error));
 				}
@@ -449,6 +481,7 @@
 		}
 
 		isCatchingUp = true;
+		const startedAt = clock.monotonic();
 		try {
 			const isMemberNewer = comparePositions(state, position()) > 0;
 			const asksRetained = published.revision === undefined || !isMemberNewer;
@@ -456,6 +489,7 @@
 			await readMember(address, limits, stopping.signal);
 		} catch (error) {
 			countFailure(error);
+			logFailure(error, address, startedAt);
 		} finally {
 			isCatchingUp = false;
 		}
@@ -469,10 +503,15 @@
 			return published.era;
 		},
 		recordMemberState(state, from) {
+			const now = clock.monotonic();
+			if (published.revision !== undefined) {
+				lag.recordReport(state, position(), now);
+			}
+
 			// A member of an older era cannot replace the store as a source.
 			const isOlderEra = compareEras(state.era, published.era) < 0;
 			const confirmedAgo = isOlderEra ? Number.POSITIVE_INFINITY : state.confirmedAgo;
-			sourceSelector.recordConfirmation(from.address, confirmedAgo, clock.monotonic());
+			sourceSelector.recordConfirmation(from.address, confirmedAgo, now);
 			if (isBehind(state)) {
 				clock.after(catchUpDelayMs, () => {
 					void catchUp(from.address, state);
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -12,6 +12,8 @@
 	| 'store-regained'
 	| 'store-era-changed'
 	| 'store-entry-refused'
+	| 'published-late'
+	| 'published-read-failed'
 	| 'configuration-adopted'
 	| 'configuration-refused'
 	| 'certainty-lost'
--- a/packages/observability/src/structured-log.ts
+++ b/packages/observability/src/structured-log.ts
@@ -33,6 +33,7 @@
 const levels: Partial<Record<EventName, LogLevel>> = {
 	'store-lost': 'warn',
 	'store-entry-refused': 'warn',
+	'published-late': 'warn',
 	'settings-refused': 'warn',
 	'certainty-lost': 'warn',
 	'target-suspected': 'warn',
