Send only the newest version of what another instance missed

Callers could get the decision of an old configuration from an instance that had been behind. One reader serves a failure domain over 10 Mbit/s; reads that take over 400 or 1,200 ms are dropped and begin again elsewhere.

Cause: `published-log` kept changes as a list, so superseded versions of an item were kept and sent. Now it keeps the last change of each item: a read is never larger than the whole state, and 1,000 changes of a large configuration no longer stay in memory. Superseded versions in a response of the store are no longer decoded.

Tests: "a reader that missed many versions of an item gets only the newest" and "of the versions that a response returns after a pause only the newest is decoded" fail without the change (2 of 15 in the two files).

--- a/packages/gateway/src/__tests__/published-state-service.test.ts
+++ b/packages/gateway/src/__tests__/published-state-service.test.ts
@@ -26,6 +26,7 @@
 	let clock: ManualClock;
 	let service: PublishedStateService;
 	let watches: Watch[];
+	let taken: PublishedItem[];
 	let confirmedAt: number;
 	let confirmedOffset: number;
 	let wallStep: number;
@@ -52,6 +53,7 @@
 			},
 		};
 		watches = [];
+		taken = [];
 		confirmedAt = Number.NEGATIVE_INFINITY;
 		const self = {address: '127.0.0.1', failureDomain: 'north', startedAt: 1};
 		service = createPublishedStateService({
@@ -79,7 +81,9 @@
 			},
 			receiver: {
 				takeSnapshot: () => undefined,
-				takeChange: () => undefined,
+				takeChange(change) {
+					taken.push(change);
+				},
 				retainedItems: () => [],
 				takeRetainedItems: () => undefined,
 				configurationVersion: () => 0,
@@ -137,6 +141,13 @@
 		}
 	});
 
+	test('of the versions that a response returns after a pause only the newest is decoded', async () => {
+		const other = {key: 'b', value: '1', revision: 7};
+		watches[0]!.respond([{...item, revision: 6}, other, {...item, revision: 8}], 8);
+		await settle();
+		expect(taken).toEqual([{...item, revision: 8}, other]);
+	});
+
 	test('a response that was read after the machine was suspended confirms with the clocks of its request', async () => {
 		await advance(1800);
 		wallStep = 30_000;
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -159,6 +159,11 @@
 /** Name of the store as a source, in logs. */
 const storeName = 'store';
 
+/** Leaves out the changes that a later one of the same item supersedes. */
+function newestChanges(items: readonly PublishedItem[]): Iterable<PublishedItem> {
+	return new Map(items.map(item => [item.key, item])).values();
+}
+
 export function createPublishedStateService(
 	options: PublishedStateServiceOptions,
 ): PublishedStateService {
@@ -230,7 +235,7 @@
 		era: number | undefined,
 	): void {
 		const added = published.add(items, revision, era) ?? [];
-		for (const item of added) {
+		for (const item of newestChanges(added)) {
 			receiver.takeChange(item);
 		}
 
--- a/packages/policy-fleet/src/__tests__/published-log.test.ts
+++ b/packages/policy-fleet/src/__tests__/published-log.test.ts
@@ -35,13 +35,27 @@
 		const log = createPublishedLog();
 		log.replace([], 1);
 		for (let revision = 2; revision < 2000; revision++) {
-			log.add([item('a', revision)], revision);
+			log.add([item(`a${revision}`, revision)], revision);
 		}
 
 		expect(log.since(1)).toMatchObject({kind: 'snapshot', revision: 1999});
 		expect(log.since(1990)?.items).toHaveLength(9);
 	});
 
+	// A link of 10 Mbit/s took longer than the time limit of a read for the versions missed in 4 s.
+	test('a reader that missed many versions of an item gets only the newest', () => {
+		const log = createPublishedLog();
+		log.replace([item('a', 1), item('b', 1)], 1);
+		log.add([item('b', 2)], 2);
+		for (let revision = 3; revision < 2000; revision++) {
+			log.add([item('a', revision)], revision);
+		}
+
+		const changes = {kind: 'changes', revision: 1999};
+		expect(log.since(1)).toEqual({...changes, items: [item('b', 2), item('a', 1999)]});
+		expect(log.since(2)).toEqual({...changes, items: [item('a', 1999)]});
+	});
+
 	test('a snapshot of a later era is taken at a lower revision, and one of an earlier era never', () => {
 		const log = createPublishedLog();
 		log.replace([item('a', 90)], 100, 1);
--- a/packages/policy-fleet/src/published-log.ts
+++ b/packages/policy-fleet/src/published-log.ts
@@ -1,6 +1,8 @@
 /**
  * The newest state of everything that the platform publishes, together with its latest changes. An
- * instance uses it to send other instances what is new since the position that they have.
+ * instance uses it to send other instances what is new since the position that they have. Of several
+ * changes of an item only the last is kept, so that what another instance gets is never more than
+ * the whole state, however much it missed.
  */
 import {compareEras, comparePositions, type PublishedPosition} from './published-position.js';
 
@@ -41,12 +43,13 @@
 	since(revision: number | undefined, era?: number): PublishedChanges | undefined;
 };
 
-/** Number of changes kept; at the planned size the platform publishes about 4,000 changes a day. */
+/** Number of items whose last changes are kept. */
 const maxChanges = 1000;
 
 export function createPublishedLog(): PublishedLog {
 	const items = new Map<string, PublishedItem>();
-	let changes: PublishedItem[] = [];
+	/** By key, in the order in which they were added. */
+	const changes = new Map<string, PublishedItem>();
 	/** Changes at or before this revision are no longer kept. */
 	let trimmedRevision = 0;
 	let current: PublishedPosition | undefined;
@@ -58,19 +61,22 @@
 		}
 
 		items.set(item.key, item);
-		changes.push(item);
+		changes.delete(item.key);
+		changes.set(item.key, item);
 		return true;
 	}
 
 	function trim(): void {
-		if (changes.length > maxChanges) {
-			const dropped = changes.splice(0, changes.length - maxChanges);
-			trimmedRevision = Math.max(trimmedRevision, ...dropped.map(({revision}) => revision));
-			for (const item of dropped) {
-				// A deleted item is forgotten together with the change that deleted it.
-				if (item.value === undefined && items.get(item.key) === item) {
-					items.delete(item.key);
-				}
+		for (const {key, value, revision} of changes.values()) {
+			if (changes.size <= maxChanges) {
+				return;
+			}
+
+			changes.delete(key);
+			trimmedRevision = Math.max(trimmedRevision, revision);
+			// A deleted item is forgotten together with the change that deleted it.
+			if (value === undefined) {
+				items.delete(key);
 			}
 		}
 	}
@@ -93,7 +99,7 @@
 				items.set(item.key, item);
 			}
 
-			changes = [];
+			changes.clear();
 			trimmedRevision = revision;
 			current = position;
 			return true;
@@ -123,7 +129,7 @@
 				return {kind: 'snapshot', items: present, ...current};
 			}
 
-			const newer = changes.filter(item => item.revision > revision);
+			const newer = [...changes.values()].filter(item => item.revision > revision);
 			return {kind: 'changes', items: newer, ...current};
 		},
 	};
