--- a/packages/gateway/src/__tests__/published-state-service.test.ts
+++ b/packages/gateway/src/__tests__/published-state-service.test.ts
@@ -4,11 +4,14 @@
  * too late, the instance must refuse valid keys as soon as the store fails.
  */
 import {afterEach, beforeEach, describe, expect, test} from '@jest/globals';
+import {fetchPublishedChanges} from '@shallotpond/io-fleet/published-exchange';
+import {createSystemClock} from '@shallotpond/kernel/clock';
 import {createSeededRandom} from '@shallotpond/kernel/random';
 import {noopEventLog} from '@shallotpond/observability/event-log';
 import {createMetrics} from '@shallotpond/observability/metrics';
 import {createFleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
 import {type PublishedItem} from '@shallotpond/policy-fleet/published-log';
+import {reservePorts} from '@shallotpond/testkit/port-reservation';
 import {createManualClock, type ManualClock} from '@shallotpond/testkit/manual-clock';
 import {
 	createPublishedStateService,
@@ -18,6 +21,7 @@
 type Watch = {
 	readonly wait: number;
 	respond(items: readonly PublishedItem[], revision: number): void;
+	loseHistory(): void;
 };
 
 const item = {key: 'a', value: '1', revision: 5};
@@ -26,6 +30,8 @@
 	let clock: ManualClock;
 	let service: PublishedStateService;
 	let watches: Watch[];
+	let snapshot: {items: readonly PublishedItem[]; revision: number};
+	let port: number;
 	let taken: PublishedItem[];
 	let confirmedAt: number;
 	let confirmedOffset: number;
@@ -53,6 +59,8 @@
 			},
 		};
 		watches = [];
+		snapshot = {items: [item], revision: 5};
+		port = await reservePorts();
 		taken = [];
 		confirmedAt = Number.NEGATIVE_INFINITY;
 		const self = {address: '127.0.0.1', failureDomain: 'north', startedAt: 1};
@@ -62,10 +70,10 @@
 			log: noopEventLog,
 			metrics: createMetrics(),
 			self: self.address,
-			port: 0,
+			port,
 			roster: createFleetRoster({self}),
 			store: {
-				readAll: async () => ({items: [item], revision: 5}),
+				readAll: async () => snapshot,
 				watch: async (_revision, wait, signal) =>
 					new Promise((resolve, reject) => {
 						signal.addEventListener('abort', () => {
@@ -76,6 +84,9 @@
 							respond(items, revision) {
 								resolve({kind: 'changes', items, revision});
 							},
+							loseHistory() {
+								resolve({kind: 'history-gone'});
+							},
 						});
 					}),
 			},
@@ -148,6 +159,22 @@
 		expect(taken).toEqual([{...item, revision: 8}, other]);
 	});
 
+	// A snapshot for each reader would take the link of the instance for seconds.
+	test('after the store dropped its history, other instances get the changes and no snapshot', async () => {
+		snapshot = {items: [{...item, revision: 8}], revision: 9};
+		watches[0]!.loseHistory();
+		await settle();
+		const response = await fetchPublishedChanges({
+			member: {host: '127.0.0.1', port},
+			after: {revision: 5},
+			wait: 0,
+			timeout: 5000,
+			clock: createSystemClock(),
+			signal: new AbortController().signal,
+		});
+		expect(response).toMatchObject({kind: 'changes', items: snapshot.items, revision: 9});
+	});
+
 	test('a response that was read after the machine was suspended confirms with the clocks of its request', async () => {
 		await advance(1800);
 		wallStep = 30_000;
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -208,9 +208,10 @@
 		items: readonly PublishedItem[],
 		revision: number,
 		era: number | undefined,
+		kind: 'replace' | 'merge' = 'replace',
 	): void {
 		const before = {era: published.era, revision: published.revision};
-		if (!published.replace(items, revision, era)) {
+		if (!published[kind](items, revision, era)) {
 			return;
 		}
 
@@ -280,7 +281,11 @@
 			// A response without an era counts as one of the era that was known when it was requested.
 			const snapshotEra = snapshot.era ?? era;
 			refuseOlderEra(snapshotEra);
-			takeSnapshot(snapshot.items, snapshot.revision, snapshotEra);
+			// After an outage of the store entries may be missing that return soon; each instance has its
+			// own grace for these, so readers get the whole snapshot.
+			const isContinuous = revision !== undefined && !isStoreLost;
+			const kind = isContinuous ? 'merge' : 'replace';
+			takeSnapshot(snapshot.items, snapshot.revision, snapshotEra, kind);
 			recordProgress(storeName);
 			isSnapshotNeeded = false;
 			if (revision === undefined) {
--- a/packages/policy-fleet/src/__tests__/published-log.test.ts
+++ b/packages/policy-fleet/src/__tests__/published-log.test.ts
@@ -56,6 +56,28 @@
 		expect(log.since(2)).toEqual({...changes, items: [item('a', 1999)]});
 	});
 
+	// A full snapshot for each of the readers would take the link of this instance for seconds.
+	test('after a snapshot that closes a gap in the history, a reader gets only what it changed', () => {
+		const log = createPublishedLog();
+		log.replace([item('a', 1), item('b', 1), item('c', 1)], 1);
+		log.add([item('a', 2)], 2);
+		expect(log.merge([item('a', 2), item('b', 9), item('d', 8)], 10)).toBe(true);
+		const deleted = {key: 'c', value: undefined, revision: 10};
+		const merged = [deleted, item('b', 9), item('d', 8)];
+		expect(log.since(2)).toEqual({kind: 'changes', items: merged, revision: 10});
+		expect(log.since(1)?.items).toEqual([item('a', 2), ...merged]);
+		expect(log.since(undefined)?.items).toHaveLength(3);
+		expect(log.merge([item('a', 3)], 9)).toBe(false);
+		expect(log.since(10)?.items).toEqual([]);
+	});
+
+	test('a snapshot of another era is never merged', () => {
+		const log = createPublishedLog();
+		log.replace([item('a', 90)], 100, 1);
+		expect(log.merge([item('b', 40)], 50, 2)).toBe(true);
+		expect(log.since(100, 1)).toMatchObject({kind: 'snapshot', items: [item('b', 40)]});
+	});
+
 	test('a snapshot of a later era is taken at a lower revision, and one of an earlier era never', () => {
 		const log = createPublishedLog();
 		log.replace([item('a', 90)], 100, 1);
--- a/packages/policy-fleet/src/published-log.ts
+++ b/packages/policy-fleet/src/published-log.ts
@@ -27,8 +27,16 @@
 	readonly revision: number | undefined;
 	/** Era of the revision; undefined before the first snapshot or if unknown. */
 	readonly era: number | undefined;
-	/** Replaces all items. Returns false and changes nothing if a newer state is known. */
+	/**
+	 * Replaces all items. Readers that are behind then get a snapshot too. Returns false and changes
+	 * nothing if a newer state is known.
+	 */
 	replace(items: readonly PublishedItem[], revision: number, era?: number): boolean;
+	/**
+	 * Like `replace`, but takes the difference to the items of the same era as changes, so that
+	 * readers get only these. Items that are missing count as deleted.
+	 */
+	merge(items: readonly PublishedItem[], revision: number, era?: number): boolean;
 	/**
 	 * Adds changes and returns those that were not known yet. Returns undefined and changes nothing
 	 * if they are of another era: they follow from a state that this log does not have.
@@ -81,6 +89,27 @@
 		}
 	}
 
+	function replace(
+		snapshot: readonly PublishedItem[],
+		revision: number,
+		era: number | undefined,
+	): boolean {
+		const position = {era, revision};
+		if (current !== undefined && comparePositions(position, current) < 0) {
+			return false;
+		}
+
+		items.clear();
+		for (const item of snapshot) {
+			items.set(item.key, item);
+		}
+
+		changes.clear();
+		trimmedRevision = revision;
+		current = position;
+		return true;
+	}
+
 	return {
 		get revision() {
 			return current?.revision;
@@ -88,20 +117,29 @@
 		get era() {
 			return current?.era;
 		},
-		replace(snapshot, revision, era) {
-			const position = {era, revision};
-			if (current !== undefined && comparePositions(position, current) < 0) {
+		replace,
+		merge(snapshot, revision, era) {
+			if (current === undefined || compareEras(era, current.era) !== 0) {
+				return replace(snapshot, revision, era);
+			}
+
+			if (revision < current.revision) {
 				return false;
 			}
 
-			items.clear();
+			const present = new Set(snapshot.map(({key}) => key));
+			for (const {key, value} of items.values()) {
+				if (value !== undefined && !present.has(key)) {
+					apply({key, value: undefined, revision});
+				}
+			}
+
 			for (const item of snapshot) {
-				items.set(item.key, item);
+				apply(item);
 			}
 
-			changes.clear();
-			trimmedRevision = revision;
-			current = position;
+			current = {era, revision};
+			trim();
 			return true;
 		},
 		add(newItems, revision, era) {
