--- a/packages/policy-fleet/src/__tests__/published-log.test.ts
+++ b/packages/policy-fleet/src/__tests__/published-log.test.ts
@@ -71,6 +71,14 @@
 		expect(log.since(10)?.items).toEqual([]);
 	});
 
+	// The pages of a snapshot are read one after the other, and the position is that of the first.
+	test('an item that is newer than the position of its snapshot reaches readers at that position', () => {
+		const log = createPublishedLog();
+		log.replace([item('a', 5), item('b', 12)], 10);
+		log.add([item('b', 12)], 12);
+		expect(log.since(10)).toEqual({kind: 'changes', items: [item('b', 12)], revision: 12});
+	});
+
 	test('a snapshot of another era is never merged', () => {
 		const log = createPublishedLog();
 		log.replace([item('a', 90)], 100, 1);
--- a/packages/policy-fleet/src/published-log.ts
+++ b/packages/policy-fleet/src/published-log.ts
@@ -100,11 +100,15 @@
 		}
 
 		items.clear();
+		changes.clear();
 		for (const item of snapshot) {
 			items.set(item.key, item);
+			// Changed while the pages of the snapshot were read.
+			if (item.revision > revision) {
+				changes.set(item.key, item);
+			}
 		}
 
-		changes.clear();
 		trimmedRevision = revision;
 		current = position;
 		return true;
