Compress what instances send each other of the published state

One instance sends each version of the configuration to most of its failure domain: 11 followers in a fleet of 92, over links that may carry 7 to 10 Mbit/s. With a version every 0.33 s that is most of the link, and requests of callers share it, so versions came late to the instances that wait behind.

Responses of 2 KiB or more are compressed if the reader says that it decodes them, which instances of the earlier version do not say.

Tests: "a large state is compressed for the readers that decode it", and three on compressed responses that are cut, not compressed or too large.

--- a/packages/io-fleet/src/__tests__/published-exchange.test.ts
+++ b/packages/io-fleet/src/__tests__/published-exchange.test.ts
@@ -2,8 +2,11 @@
  * Guards against requests and responses of other instances that end the process, that stop it from
  * following what the platform publishes, or that put malformed items in force.
  */
+import {Buffer} from 'node:buffer';
+import diagnosticsChannel from 'node:diagnostics_channel';
 import {createServer, type Server} from 'node:http';
 import net, {type AddressInfo} from 'node:net';
+import {gzipSync} from 'node:zlib';
 import {afterEach, expect, test} from '@jest/globals';
 import {createPublishedLog} from '@shallotpond/policy-fleet/published-log';
 import {createSystemClock} from '@shallotpond/kernel/clock';
@@ -29,8 +32,9 @@
 	});
 }
 
-async function fetchFrom(body: string) {
+async function fetchFrom(body: string | Uint8Array, encoding = 'identity') {
 	const server = createServer((_request, response) => {
+		response.setHeader('content-encoding', encoding);
 		response.end(body);
 	});
 	cleanUps.push(async () => closeServer(server));
@@ -146,3 +150,45 @@
 	const response = await sendLine(listener.port, `/published?wait=0&${query}`);
 	expect(JSON.parse(/{.*}/.exec(response)![0])).toMatchObject(expected);
 });
+
+test('a large state is compressed for the readers that decode it', async () => {
+	const log = createPublishedLog();
+	const large = {key: 'op/config', value: 'c2hhbGxvdHBvbmQ='.repeat(2000), revision: 3};
+	log.replace([large], 3);
+	const listener = createPublishedListener({
+		address: {host: '127.0.0.1', port: 0},
+		clock,
+		log,
+		confirmedAgo: () => 5,
+	});
+	await listener.start();
+	cleanUps.push(async () => listener.stop());
+	const plain = await sendLine(listener.port, '/published?wait=0');
+	expect(plain).toContain(large.value);
+	const encodings: unknown[] = [];
+	const countEncoding = (message: unknown) => {
+		const {response} = message as {response: {headers: Record<string, string>}};
+		encodings.push(response.headers['content-encoding']);
+	};
+
+	diagnosticsChannel.subscribe('http.client.response.finish', countEncoding);
+	const response = await fetchPublishedChanges({
+		member: {host: '127.0.0.1', port: listener.port},
+		after: undefined,
+		wait: 0,
+		timeout: 5000,
+		clock,
+		signal: new AbortController().signal,
+	});
+	diagnosticsChannel.unsubscribe('http.client.response.finish', countEncoding);
+	expect(response.items).toEqual([large]);
+	expect(encodings).toEqual(['gzip']);
+});
+
+test.each([
+	['is cut', gzipSync(JSON.stringify(valid)).subarray(0, 40)],
+	['is not compressed', JSON.stringify(valid)],
+	['expands beyond the limit', gzipSync(Buffer.alloc(67_108_865))],
+])('a compressed response that %s is an error of the source', async (_what, body) => {
+	await expect(fetchFrom(body, 'gzip')).rejects.toThrow('cannot be decoded');
+});
--- a/packages/io-fleet/src/published-exchange.ts
+++ b/packages/io-fleet/src/published-exchange.ts
@@ -5,6 +5,7 @@
  */
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo} from 'node:net';
+import {constants, gunzipSync, gzipSync} from 'node:zlib';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {formatSocketAddress, type SocketAddress} from '@shallotpond/kernel/setting-kinds';
 import {isWholeNumber} from '@shallotpond/kernel/whole-number';
@@ -15,7 +16,7 @@
 } from '@shallotpond/policy-fleet/published-log';
 import {compareEras, type PublishedPosition} from '@shallotpond/policy-fleet/published-position';
 import {type RetainedItem, type RetainedItemsReader} from '@shallotpond/policy-fleet/retained-item';
-import {callHttp, parseJsonResponse} from '@shallotpond/io-platform/http-call';
+import {callHttp, parseJsonResponse, type HttpResponse} from '@shallotpond/io-platform/http-call';
 import {FleetError} from './datagram-transport.js';
 
 export type PublishedResponse = PublishedChanges & {
@@ -57,6 +58,13 @@
 const neverConfirmed = 1_000_000_000;
 /** Maximum size in bytes of a response that this instance accepts from another one. */
 const maxResponseSize = 67_108_864;
+/**
+ * Bytes from which a response is compressed. One instance sends each version of the configuration to
+ * most of its failure domain, over a link that may carry as little as 1 MB/s.
+ */
+const minCompressedBytes = 2048;
+const compression = {level: constants.Z_BEST_SPEED} as const;
+const compressedEncoding = 'gzip';
 
 function isPublishedItem(value: unknown): value is PublishedItem {
 	const {key, value: text, revision} = (value ?? {}) as Readonly<Record<string, unknown>>;
@@ -114,6 +122,8 @@
 	 * reader.
 	 */
 	readonly retainedAbove: number | undefined;
+	/** Whether the reader decodes compressed responses; one of an earlier version does not. */
+	readonly acceptsCompression: boolean;
 };
 
 function readNumber(text: string | undefined): number | undefined {
@@ -131,6 +141,7 @@
 			return;
 		}
 
+		response.setHeader('content-type', 'application/json');
 		const {retainedAbove: version} = query;
 		const isOfNewerEra = query.after !== undefined && compareEras(query.era, changes.era) > 0;
 		const body: PublishedResponse = {
@@ -140,7 +151,13 @@
 			retained:
 				version === undefined ? undefined : options.retainedItems?.({version, isOfNewerEra}),
 		};
-		response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify(body));
+		const text = JSON.stringify(body);
+		if (query.acceptsCompression && text.length >= minCompressedBytes) {
+			response.setHeader('content-encoding', compressedEncoding);
+			response.end(gzipSync(text, compression));
+		} else {
+			response.end(text);
+		}
 	}
 
 	function hasChanges({after, era}: PublishedQuery): boolean {
@@ -162,6 +179,7 @@
 			// A reader of an earlier version has no eras: its revision is taken as one of this era.
 			era: eraText === null ? log.era : readNumber(eraText),
 			retainedAbove: readNumber(parameters.get('retained') ?? undefined),
+			acceptsCompression: request.headers['accept-encoding'] === compressedEncoding,
 		};
 		const wait = Math.min(Number(parameters.get('wait') ?? 0), maxWait);
 		if (pathname !== path) {
@@ -169,7 +187,9 @@
 			return;
 		}
 
-		if (Object.values(publishedQuery).some(value => value !== undefined && !isWholeNumber(value))) {
+		const {after, era, retainedAbove} = publishedQuery;
+		const numbers = [after, era, retainedAbove];
+		if (numbers.some(value => value !== undefined && !isWholeNumber(value))) {
 			response.writeHead(400).end();
 			return;
 		}
@@ -226,6 +246,22 @@
 	};
 }
 
+/** Throws a `FleetError` if the body is not what its encoding says. */
+function decompress(response: HttpResponse): HttpResponse {
+	if (response.headers['content-encoding'] !== compressedEncoding) {
+		return response;
+	}
+
+	try {
+		const body = gunzipSync(response.body, {maxOutputLength: maxResponseSize});
+		return {...response, body};
+	} catch (error) {
+		throw new FleetError('malformed-response', 'the response of the member cannot be decoded', {
+			cause: error,
+		});
+	}
+}
+
 /**
  * Reads from a member what is new. Rejects with a `PlatformError` if the call fails, is stopped, or
  * the response is too large or not JSON, and with a `FleetError` if the member responds with an
@@ -260,7 +296,8 @@
 		url.searchParams.set('retained', String(retainedAbove));
 	}
 
-	const response = await callHttp({url, timeout, maxResponseSize, clock, signal});
+	const headers = {'accept-encoding': compressedEncoding};
+	const response = await callHttp({url, headers, timeout, maxResponseSize, clock, signal});
 	if (response.status !== 200) {
 		throw new FleetError(
 			'unexpected-status',
@@ -268,5 +305,5 @@
 		);
 	}
 
-	return toPublishedResponse(parseJsonResponse(response));
+	return toPublishedResponse(parseJsonResponse(decompress(response)));
 }
