Spread the reads of instances that catch up

Callers got decisions of an old configuration from an instance without any fault of its own.

The reads of a failure domain are now spread over up to 400 ms, and over the members that have the state, those of the own domain first. One read or timer is under way at a time, where each report started a timer of its own.

--- a/packages/gateway/src/__tests__/published-state-service.test.ts
+++ b/packages/gateway/src/__tests__/published-state-service.test.ts
@@ -70,6 +70,7 @@
 			log: noopEventLog,
 			metrics: createMetrics(),
 			self: self.address,
+			failureDomain: self.failureDomain,
 			port,
 			roster: createFleetRoster({self}),
 			store: {
--- a/packages/gateway/src/__tests__/store-era.test.ts
+++ b/packages/gateway/src/__tests__/store-era.test.ts
@@ -64,6 +64,7 @@
 		},
 		metrics,
 		self: self.address,
+		failureDomain: self.failureDomain,
 		port: 0,
 		roster,
 		store: {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -258,6 +258,7 @@
 		log,
 		metrics,
 		self: options.self.address,
+		failureDomain: options.self.failureDomain,
 		port: options.ports.published,
 		roster: fleet.roster,
 		seeds: options.seeds,
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -18,6 +18,7 @@
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {type ConfigurationState, type Member} from '@shallotpond/policy-fleet/fleet-message';
 import {type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
+import {createCatchUpSources} from '@shallotpond/policy-fleet/catch-up-sources';
 import {createPublishedLag} from '@shallotpond/policy-fleet/published-lag';
 import {createPublishedLog, type PublishedItem} from '@shallotpond/policy-fleet/published-log';
 import {compareEras, comparePositions} from '@shallotpond/policy-fleet/published-position';
@@ -95,6 +96,7 @@
 	readonly metrics: Metrics;
 	/** IP address of this instance. */
 	readonly self: string;
+	readonly failureDomain: string;
 	/** Port of the exchange, the same on all instances. */
 	readonly port: number;
 	readonly roster: FleetRoster;
@@ -136,11 +138,6 @@
 const retainedTimeoutMs = 250;
 /** Members that a new instance asks for what the store may lack; one of them may be frozen. */
 const maxRetainedSources = 3;
-/**
- * How long this instance may lag behind another one before the other is read in addition to the
- * current source.
- */
-const catchUpDelayMs = 250;
 /** Interval of the checks whether another member is known. */
 const discoveryCheckMs = 25;
 /** Bounds of the delay after the second and further failed reads in a row, in milliseconds. */
@@ -179,6 +176,7 @@
 	} = options;
 	const published = createPublishedLog();
 	const lag = createPublishedLag();
+	const catchUpSources = createCatchUpSources({failureDomain: options.failureDomain, random});
 	const sourceSelector = createSyncSourceSelector({
 		self: options.self,
 		roster: options.roster,
@@ -198,7 +196,7 @@
 	let isStoreLost = false;
 	/** Whether the state does not lead on to that of the store, so that all must be read again. */
 	let isSnapshotNeeded = false;
-	let isCatchingUp = false;
+	let isCatchUpScheduled = false;
 	/** Whether the last read of the store returned changes. */
 	let hasStoreChanges = false;
 
@@ -484,25 +482,37 @@
 		);
 	}
 
-	/** Reads from another instance that reported `state`, if this instance is still behind it. */
-	async function catchUp(address: string, state: ConfigurationState): Promise<void> {
-		if (isCatchingUp || !isBehind(state)) {
+	/** Reads what this instance still lacks from one of the members that reported it. */
+	async function catchUp(): Promise<void> {
+		const source = catchUpSources.choose(isBehind);
+		if (source === undefined) {
 			return;
 		}
 
-		isCatchingUp = true;
+		const {address} = source.member;
 		const startedAt = clock.monotonic();
 		try {
-			const isMemberNewer = comparePositions(state, position()) > 0;
+			const isMemberNewer = comparePositions(source.state, position()) > 0;
 			const asksRetained = published.revision === undefined || !isMemberNewer;
 			const limits = {wait: 0, slack: memberSlackMs, asksRetained};
 			await readMember(address, limits, stopping.signal);
 		} catch (error) {
 			countFailure(error);
 			logFailure(error, address, startedAt);
-		} finally {
-			isCatchingUp = false;
 		}
+
+		catchUpSources.forget(source);
+	}
+
+	function scheduleCatchUp(delay: number): void {
+		isCatchUpScheduled = true;
+		clock.after(delay, async () => {
+			await catchUp();
+			isCatchUpScheduled = false;
+			if (!stopping.signal.aborted && catchUpSources.choose(isBehind) !== undefined) {
+				scheduleCatchUp(catchUpSources.nextDelay());
+			}
+		});
 	}
 
 	return {
@@ -523,9 +533,11 @@
 			const confirmedAgo = isOlderEra ? Number.POSITIVE_INFINITY : state.confirmedAgo;
 			sourceSelector.recordConfirmation(from.address, confirmedAgo, now);
 			if (isBehind(state)) {
-				clock.after(catchUpDelayMs, () => {
-					void catchUp(from.address, state);
-				});
+				catchUpSources.record({member: from, state});
+				if (!isCatchUpScheduled) {
+					const peers = options.roster.sameDomainMembers(now).length;
+					scheduleCatchUp(catchUpSources.firstDelay(peers));
+				}
 			}
 		},
 		async start() {
--- a/packages/platform/src/__tests__/store-era.test.ts
+++ b/packages/platform/src/__tests__/store-era.test.ts
@@ -95,6 +95,7 @@
 		log,
 		metrics: createMetrics(),
 		self: address,
+		failureDomain: self.failureDomain,
 		port,
 		roster,
 		seeds: () => seeds,
