Watch the store on after it cut a watch

The store may cut a watch that waits, and cuts all of them when it drops its history. Each reader of the store took that for an outage: it read from other instances for 2.5 s, which had their state from these readers, so a new configuration reached nobody until the readers found each other out of date.

The first failure of a watch by a broken connection is now followed by another call to the store; the store counts as lost if that fails too.

Test: "after a watch was cut the store is watched on, and counts as lost after a second failure" fails without the change.

--- a/packages/gateway/src/__tests__/published-state-service.test.ts
+++ b/packages/gateway/src/__tests__/published-state-service.test.ts
@@ -7,6 +7,7 @@
 import {fetchPublishedChanges} from '@shallotpond/io-fleet/published-exchange';
 import {createSystemClock} from '@shallotpond/kernel/clock';
 import {createSeededRandom} from '@shallotpond/kernel/random';
+import {PlatformError} from '@shallotpond/io-platform/platform-error';
 import {noopEventLog} from '@shallotpond/observability/event-log';
 import {createMetrics} from '@shallotpond/observability/metrics';
 import {createFleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
@@ -22,6 +23,7 @@
 	readonly wait: number;
 	respond(items: readonly PublishedItem[], revision: number): void;
 	loseHistory(): void;
+	cut(): void;
 };
 
 const item = {key: 'a', value: '1', revision: 5};
@@ -30,6 +32,7 @@
 	let clock: ManualClock;
 	let service: PublishedStateService;
 	let watches: Watch[];
+	let snapshotReads: number;
 	let snapshot: {items: readonly PublishedItem[]; revision: number};
 	let port: number;
 	let taken: PublishedItem[];
@@ -59,6 +62,7 @@
 			},
 		};
 		watches = [];
+		snapshotReads = 0;
 		snapshot = {items: [item], revision: 5};
 		port = await reservePorts();
 		taken = [];
@@ -74,7 +78,10 @@
 			port,
 			roster: createFleetRoster({self}),
 			store: {
-				readAll: async () => snapshot,
+				async readAll() {
+					snapshotReads++;
+					return snapshot;
+				},
 				watch: async (_revision, wait, signal) =>
 					new Promise((resolve, reject) => {
 						signal.addEventListener('abort', () => {
@@ -88,6 +95,9 @@
 							loseHistory() {
 								resolve({kind: 'history-gone'});
 							},
+							cut() {
+								reject(new PlatformError('unreachable', 'read ECONNRESET'));
+							},
 						});
 					}),
 			},
@@ -160,6 +170,19 @@
 		expect(taken).toEqual([{...item, revision: 8}, other]);
 	});
 
+	// All watches may be cut at once; nobody read the store for 2.5 s then.
+	test('after a watch was cut the store is watched on, and counts as lost after a second failure', async () => {
+		watches[0]!.cut();
+		await settle();
+		await advance(25);
+		expect(watches).toHaveLength(2);
+		expect(snapshotReads).toBe(1);
+		watches[1]!.cut();
+		await settle();
+		await advance(200);
+		expect(snapshotReads).toBe(2);
+	});
+
 	// A snapshot for each reader would take the link of the instance for seconds.
 	test('after the store dropped its history, other instances get the changes and no snapshot', async () => {
 		snapshot = {items: [{...item, revision: 8}], revision: 9};
--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -199,6 +199,8 @@
 	let isCatchUpScheduled = false;
 	/** Whether the last read of the store returned changes. */
 	let hasStoreChanges = false;
+	/** Whether the last read of the store was a watch whose connection broke. */
+	let isWatchCut = false;
 
 	const position = () => ({era: published.era, revision: published.revision ?? 0});
 
@@ -427,6 +429,23 @@
 		}
 	}
 
+	function recordSourceFailure(source: SyncSource, error: unknown): void {
+		sourceSelector.recordFailure(source, clock.monotonic());
+		if (source.kind === 'store') {
+			recordStoreState(true, String(error));
+		}
+	}
+
+	/**
+	 * Whether the store cut a watch, which it may do at any time. Only if the next call fails as well,
+	 * the store counts as lost.
+	 */
+	function isFirstCut(source: SyncSource, error: unknown): boolean {
+		const isWatch = published.revision !== undefined && !isSnapshotNeeded && !isStoreLost;
+		const isBroken = error instanceof PlatformError && error.code === 'unreachable';
+		return source.kind === 'store' && isWatch && isBroken && !isWatchCut;
+	}
+
 	const callLoop = createCallLoop({
 		clock,
 		async call(signal) {
@@ -439,11 +458,12 @@
 			hasStoreChanges = false;
 			try {
 				await read(source, signal);
+				isWatchCut = false;
 			} catch (error) {
-				sourceSelector.recordFailure(source, clock.monotonic());
+				isWatchCut = isFirstCut(source, error);
 				logFailure(error, source.kind === 'store' ? storeName : source.address, startedAt);
-				if (source.kind === 'store') {
-					recordStoreState(true, String(error));
+				if (!isWatchCut) {
+					recordSourceFailure(source, error);
 				}
 
 				throw error;
