Share the parsing time among the connections of callers

Clients that do not behave hung a process: with 400 connections that sent 60,000 chunks of one byte each, none of 6 ordinary requests was answered.

Cause: what a connection makes the process parse is bounded in bytes, and a byte in a chunk of its own costs a hundred times as much as others. Every connection got 64 KiB, 27 ms of parsing, in each turn of the event loop.

Each connection now has an allowance of parsing time; one that has used it up waits behind the others, and all get 10 ms in a turn. Parts of bodies are sized by the time that the last one took, and the next is passed on only after the last was parsed. No request is refused and no connection closed for it. New metric parsing_delays_total.

--- a/packages/io-http/src/__tests__/caller-connection.test.ts
+++ b/packages/io-http/src/__tests__/caller-connection.test.ts
@@ -5,8 +5,10 @@
 import {type Socket} from 'node:net';
 import {Duplex} from 'node:stream';
 import {expect, test} from '@jest/globals';
+import {createManualClock} from '@shallotpond/testkit/manual-clock';
 import {connectionCost, createCallerConnection} from '../caller-connection.js';
 import {createMemoryAccount} from '../memory-account.js';
+import {createParseSchedule} from '../parse-schedule.js';
 
 function createFixture() {
 	const account = createMemoryAccount({
@@ -17,9 +19,16 @@
 	});
 	const stream = new Duplex({read: () => undefined, write: () => undefined});
 	const socket = Object.assign(stream, {bytesWritten: 0, bytesRead: 0}) as unknown as Socket;
+	const clock = createManualClock();
 	const connection = createCallerConnection({
 		socket,
 		account,
+		parseSchedule: createParseSchedule({
+			clock,
+			afterPoll: () => undefined,
+			onDelay: () => undefined,
+		}),
+		clock,
 		openedAt: 0,
 		maxPipelinedRequests: 4,
 		evict: () => undefined,
--- a/packages/io-http/src/caller-connection.ts
+++ b/packages/io-http/src/caller-connection.ts
@@ -5,8 +5,10 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {type Clock} from '@shallotpond/kernel/clock';
 import {type Cancellation} from './cancellation.js';
 import {type MemoryAccount, type MemoryHolder} from './memory-account.js';
+import {type ParseSchedule} from './parse-schedule.js';
 import {createReadGate} from './read-gate.js';
 
 /** A request whose response is not closed. */
@@ -43,6 +45,8 @@
 export type CallerConnectionOptions = {
 	readonly socket: Socket;
 	readonly account: MemoryAccount;
+	readonly parseSchedule: ParseSchedule;
+	readonly clock: Pick<Clock, 'monotonic'>;
 	/** Monotonic milliseconds. */
 	readonly openedAt: number;
 	/** Requests in progress from which further ones are not parsed. */
@@ -62,8 +66,15 @@
  * dozen of the smallest ones.
  */
 const headPartBytes = 1024;
-/** The same within a body. */
-const bodyPartBytes = 16_384;
+/** Bounds of the bytes that are parsed at once within a body. */
+const minBodyPartBytes = 1024;
+const maxBodyPartBytes = 16_384;
+/** Bytes of the first part of a body: up to 340 chunks. */
+const firstBodyPartBytes = 2048;
+/** Milliseconds that the next part of a body may take, if it is like the last one. */
+const bodyPartMs = 1;
+/** Shortest duration of a part that is told from none, milliseconds. */
+const minMeasuredMs = 0.01;
 
 export function createCallerConnection(options: CallerConnectionOptions): CallerConnection {
 	const {socket, account, maxPipelinedRequests} = options;
@@ -75,6 +86,7 @@
 	let unreadBytes = 0;
 	let heldBackBytes = 0;
 	let isClosing = false;
+	let bodyPartBytes = firstBodyPartBytes;
 	/** Bytes of responses that have left the process, and when that number last changed. */
 	let sentBytes = 0;
 	let sentAt = options.openedAt;
@@ -90,6 +102,10 @@
 		},
 	});
 
+	const turn = options.parseSchedule.open(() => {
+		gate.update();
+	});
+
 	/** Whether the parser is within a body that nobody reads at the moment. */
 	function isBodyBlocked(): boolean {
 		return (
@@ -108,13 +124,19 @@
 	}
 
 	const gate = createReadGate(socket, {
-		isOpen: mayParse,
+		clock: options.clock,
+		isOpen: () => mayParse() && turn.request(),
 		isDiscarding: () => isClosing,
 		partBytes: () => (latestRequest?.complete === false ? bodyPartBytes : headPartBytes),
 		onHeldChange(bytes) {
 			heldBackBytes += bytes;
 			holder.change(bytes);
 		},
+		onParsed(bytes, duration) {
+			turn.record(duration);
+			const fitting = Math.floor((bytes * bodyPartMs) / Math.max(duration, minMeasuredMs));
+			bodyPartBytes = Math.min(maxBodyPartBytes, Math.max(minBodyPartBytes, fitting));
+		},
 	});
 
 	function countUnread(): void {
@@ -189,6 +211,7 @@
 		},
 		close() {
 			holder.close();
+			turn.close();
 			responses.clear();
 			forwarded.clear();
 		},
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -21,6 +21,7 @@
 import {defaultHttpLimits, type HttpLimits} from './http-limits.js';
 import {createKeyWithdrawalWatch} from './key-withdrawal-watch.js';
 import {createMemoryAccount} from './memory-account.js';
+import {createParseSchedule} from './parse-schedule.js';
 import {
 	createProblem,
 	formatRawProblem,
@@ -198,6 +199,13 @@
 			options.onMemoryChange?.({isLow, heldBytes, connections: callerConnections.size});
 		},
 	});
+	const parseSchedule = createParseSchedule({
+		clock,
+		afterPoll: setImmediate,
+		onDelay() {
+			counters.increment('parsing-delays');
+		},
+	});
 	const maxConnections = Math.max(
 		1,
 		Math.min(
@@ -367,6 +375,8 @@
 		const connection = createCallerConnection({
 			socket,
 			account,
+			parseSchedule,
+			clock,
 			openedAt: clock.monotonic(),
 			maxPipelinedRequests: limits.maxPipelinedRequests,
 			evict() {
--- a/packages/io-http/src/http-counters.ts
+++ b/packages/io-http/src/http-counters.ts
@@ -6,6 +6,8 @@
 	| 'closed-connections'
 	/** Times at which the memory for callers became low. */
 	| 'memory-shortages'
+	/** Times at which a connection that took long to parse had to wait for its turn. */
+	| 'parsing-delays'
 	/** Attempts at targets; the label is the result. */
 	| 'attempts'
 	/** Attempts to resume an interrupted download at another target. */
@@ -24,6 +26,7 @@
 	refusals: 'code',
 	'closed-connections': 'reason',
 	'memory-shortages': undefined,
+	'parsing-delays': undefined,
 	attempts: 'result',
 	resumes: undefined,
 	'reset-answers': 'reason',
--- a/packages/io-http/src/read-gate.ts
+++ b/packages/io-http/src/read-gate.ts
@@ -6,6 +6,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
+import {type Clock} from '@shallotpond/kernel/clock';
 
 export type ReadGateOptions = {
 	/** Whether the next part may be passed on. */
@@ -16,6 +17,9 @@
 	readonly partBytes: () => number;
 	/** Called with each change of the number of bytes kept back. */
 	readonly onHeldChange: (bytes: number) => void;
+	/** Called after each part, with the milliseconds that it took to parse. */
+	readonly onParsed: (bytes: number, duration: number) => void;
+	readonly clock: Pick<Clock, 'monotonic'>;
 };
 
 export type ReadGate = {
@@ -26,13 +30,23 @@
 /** To be called after Node's HTTP server has taken over the socket. */
 export function createReadGate(socket: Socket, options: ReadGateOptions): ReadGate {
 	const {isOpen, isDiscarding} = options;
-	const passToStream = socket.push.bind(socket);
+	const pushToStream = socket.push.bind(socket);
 	const requestRead = socket._read.bind(socket);
 	/** What the stream has not received yet. */
 	let rest: Uint8Array | undefined;
 	let hasEnded = false;
 	let isReadWanted = false;
 	let isPassing = false;
+	/** Bytes that the stream has received and not yet delivered to the parser. */
+	let unparsedBytes = 0;
+
+	/** A part is passed on only after the last one was parsed, so that its duration is known. */
+	const mayPass = () => unparsedBytes === 0 && isOpen();
+
+	function passToStream(part: Uint8Array): boolean {
+		unparsedBytes += part.length;
+		return pushToStream(part);
+	}
 
 	function takePart(): Uint8Array {
 		const all = rest!;
@@ -56,7 +70,7 @@
 		while (rest !== undefined && isAccepted && !socket.destroyed) {
 			if (isDiscarding()) {
 				discard();
-			} else if (isOpen()) {
+			} else if (mayPass()) {
 				isAccepted = passToStream(takePart());
 			} else {
 				break;
@@ -69,7 +83,7 @@
 
 		if (hasEnded) {
 			hasEnded = false;
-			passToStream(null);
+			pushToStream(null);
 			return false;
 		}
 
@@ -93,12 +107,18 @@
 		return isReadable;
 	}
 
+	function update(): void {
+		if (!socket.destroyed && (rest !== undefined || isReadWanted || hasEnded)) {
+			pass();
+		}
+	}
+
 	// Node's sockets deliver what they have read through `push` and are asked for more by `_read`.
 	socket.push = (chunk: unknown) => {
 		if (!(chunk instanceof Uint8Array)) {
 			// Null marks the end of the stream.
 			hasEnded = true;
-		} else if (rest === undefined && chunk.length <= options.partBytes() && isOpen()) {
+		} else if (rest === undefined && chunk.length <= options.partBytes() && mayPass()) {
 			// Most requests arrive alone and whole.
 			return passToStream(chunk);
 		} else if (!isDiscarding()) {
@@ -119,14 +139,17 @@
 		pass();
 	};
 
-	// Once it has had another listener for the data, Node no longer reads them within the parser.
-	const detach = () => undefined;
-	socket.on('data', detach).off('data', detach);
-	return {
-		update() {
-			if (!socket.destroyed && (rest !== undefined || isReadWanted || hasEnded)) {
-				pass();
-			}
-		},
-	};
+	// The parser runs in a listener for the data. A stream may deliver a part later than it got it, so
+	// the time is taken by listeners before and after that one. With another listener, Node also no
+	// longer reads the data within the parser.
+	let parsingSince = 0;
+	socket.prependListener('data', () => {
+		parsingSince = options.clock.monotonic();
+	});
+	socket.on('data', (part: Uint8Array) => {
+		unparsedBytes -= part.length;
+		options.onParsed(part.length, options.clock.monotonic() - parsingSince);
+		update();
+	});
+	return {update};
 }
--- a/packages/soak/src/__tests__/hostile-clients.test.ts
+++ b/packages/soak/src/__tests__/hostile-clients.test.ts
@@ -71,6 +71,23 @@
 	sockets.push(socket);
 }
 
+/** Connects, sends the head, and then the part again and again until the socket is destroyed. */
+function connectWithoutEnd({address, port}: InstanceUnderTest, head: string, part: string): void {
+	const socket = net.connect({host: address, port});
+	const send = () => {
+		while (!socket.destroyed && socket.write(part, 'latin1')) {
+			// Sends on until the process reads more slowly.
+		}
+	};
+
+	socket.on('error', () => undefined);
+	socket.pause();
+	socket.write(head, 'latin1');
+	socket.on('drain', send);
+	socket.once('connect', send);
+	sockets.push(socket);
+}
+
 function sentBytes(): number {
 	return sockets.reduce((sum, socket) => sum + socket.bytesWritten - socket.writableLength, 0);
 }
@@ -83,6 +100,13 @@
 	}
 }
 
+async function expectSoundness(processLimits: ProcessLimits, servesOthers: boolean): Promise<void> {
+	const {isRunning} = instance!;
+	expect({isRunning, servesOthers}).toEqual({isRunning: true, servesOthers: true});
+	expect(await instance!.peakMemory()).toBeLessThan(processLimits.memoryMb);
+	expect(await instance!.openDescriptors()).toBeLessThan(processLimits.descriptors);
+}
+
 /** Lets a crowd connect to a new process and checks the process while the crowd stays connected. */
 async function withstandCrowd(
 	count: number,
@@ -98,11 +122,7 @@
 		await waitUntilQuiet();
 	}
 
-	const servesOthers = await instance.servesOrdinaryRequest();
-	const {isRunning} = instance;
-	expect({isRunning, servesOthers}).toEqual({isRunning: true, servesOthers: true});
-	expect(await instance.peakMemory()).toBeLessThan(processLimits.memoryMb);
-	expect(await instance.openDescriptors()).toBeLessThan(processLimits.descriptors);
+	await expectSoundness(processLimits, await instance.servesOrdinaryRequest());
 }
 
 // Without the account: ended with SIGABRT (out of memory) after 3.6 MB of chunks.
@@ -111,6 +131,18 @@
 	await withstandCrowd(10, client => chunkedRequest(`tiny-${client}`, body));
 });
 
+// Without shared parsing time: no ordinary request was answered while the crowd sent.
+test('bodies in tiny chunks that go on without end leave the process answering', async () => {
+	instance = await startInstance(limits);
+	const part = chunk(1).repeat(10_000);
+	for (let client = 0; client < 48; client++) {
+		connectWithoutEnd(instance, chunkedRequest(`endless-${client}`, ''), part);
+	}
+
+	await sleep(quietTime);
+	await expectSoundness(limits, await instance.servesOrdinaryRequest(4));
+});
+
 // Without the account: held 144 MB. The process lived, because these bytes are outside its heap.
 test('bodies in large chunks that stop just short of their end leave the process sound', async () => {
 	const body = chunk(62_000);
--- a/packages/soak/src/__tests__/instance-under-test.ts
+++ b/packages/soak/src/__tests__/instance-under-test.ts
@@ -47,8 +47,11 @@
 	readonly address: string;
 	readonly port: number;
 	readonly isRunning: boolean;
-	/** Sends ordinary requests until one is answered with 200; false if none is. */
-	servesOrdinaryRequest(): Promise<boolean>;
+	/**
+	 * Sends ordinary requests until one is answered with 200; false if none is. A caller waits 5 s for
+	 * its answer. Default of `maxRequests`: enough for the start of the process.
+	 */
+	servesOrdinaryRequest(maxRequests?: number): Promise<boolean>;
 	/** The most memory that the process ever held, MB; infinite if it has ended. */
 	peakMemory(): Promise<number>;
 	/** Infinite if the process has ended. */
@@ -170,8 +173,8 @@
 	const output = collectOutput(child);
 	const isRunning = () => child.exitCode === null && child.signalCode === null;
 
-	async function servesOrdinaryRequest(): Promise<boolean> {
-		for (let attempt = 0; attempt < maxPolls && isRunning(); attempt++) {
+	async function servesOrdinaryRequest(maxRequests = maxPolls): Promise<boolean> {
+		for (let attempt = 0; attempt < maxRequests && isRunning(); attempt++) {
 			const headers = {
 				host,
 				...encodeCallerHeaders({id: `ordinary-${attempt}`, key: workspaceKey, timeout: 5000}),
