Let a connection recover soon from a pause of the process

The time of a part may contain a pause of the whole process, such as a frozen machine. A pause of 6 s would have kept the connection behind all others for a minute. The allowance now falls to -100 ms at most, which takes 1 s to return.

Test: "after a pause of the process within a part, the allowance returns soon" fails without the bound.

--- a/packages/gateway/src/published-state-service.ts
+++ b/packages/gateway/src/published-state-service.ts
@@ -96,6 +96,7 @@
 	readonly metrics: Metrics;
 	/** IP address of this instance. */
 	readonly self: string;
+	/** Failure domain of this instance. */
 	readonly failureDomain: string;
 	/** Port of the exchange, the same on all instances. */
 	readonly port: number;
--- a/packages/io-http/src/__tests__/parse-schedule.test.ts
+++ b/packages/io-http/src/__tests__/parse-schedule.test.ts
@@ -123,6 +123,14 @@
 	expect(turn.request()).toBe(true);
 });
 
+test('after a pause of the process within a part, the allowance returns soon', () => {
+	const turn = schedule.open(() => undefined);
+	turn.record(60_000);
+	endTurn();
+	clock.advance(1100);
+	expect(turn.request()).toBe(true);
+});
+
 test('a closed connection is parsed no more', () => {
 	const connection = open('a', 30);
 	connection.parse();
--- a/packages/io-http/src/parse-schedule.ts
+++ b/packages/io-http/src/parse-schedule.ts
@@ -38,6 +38,8 @@
 const minTrackedMs = 1;
 /** Milliseconds of parsing that a connection may use at once. */
 const maxAllowanceMs = 2;
+/** The allowance falls no lower, because a measured time may contain a pause of the process. */
+const minAllowanceMs = -100;
 /** Milliseconds of parsing that a connection may use in each millisecond. */
 const allowanceRate = 0.1;
 
@@ -139,7 +141,7 @@
 					return false;
 				},
 				record(duration) {
-					entry.allowance -= duration;
+					entry.allowance = Math.max(minAllowanceMs, entry.allowance - duration);
 					refill(entry);
 					used += duration;
 					if (used >= minTrackedMs) {
