--- a/packages/io-fleet/src/__tests__/published-exchange.test.ts
+++ b/packages/io-fleet/src/__tests__/published-exchange.test.ts
@@ -153,7 +153,7 @@
 
 test('a large state is compressed for the readers that decode it', async () => {
 	const log = createPublishedLog();
-	const large = {key: 'op/config', value: 'c2hhbGxvdHBvbmQ='.repeat(2000), revision: 3};
+	const large = {key: 'configuration', value: 'c2hhbGxvdHBvbmQ='.repeat(2000), revision: 3};
 	log.replace([large], 3);
 	const listener = createPublishedListener({
 		address: {host: '127.0.0.1', port: 0},
