--- a/review/stand-ins-2/store.js
+++ b/review/stand-ins-2/store.js
@@ -1,7 +1,7 @@
 /* eslint-disable camelcase -- names of the platform */
 /**
  * Stand-in of the platform's store: items with revisions, reads of a range and waiting watches. It
- * answers as the pages say, and can be told to answer nothing.
+ * answers as the pages say. In a drill it is away for a moment and comes back from an older copy.
  */
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
@@ -14,7 +14,9 @@
 	const history = [];
 	const watches = new Set();
 	let revision = 100;
-	let isSilent = false;
+	let era = 1;
+	let isAway = false;
+	let copy;
 
 	function record(event) {
 		history.push(event);
@@ -25,7 +27,12 @@
 
 	function reply(response, status, body) {
 		setTimeout(() => {
-			response.writeHead(status, {'content-type': 'application/json'});
+			if (isAway) {
+				response.destroy();
+				return;
+			}
+
+			response.writeHead(status, {'content-type': 'application/json', 'store-era': era});
 			response.end(JSON.stringify(body));
 		}, answerDelayMs);
 	}
@@ -42,6 +49,11 @@
 		'/api/kv-watch'(query, response) {
 			const prefix = query.get('prefix') ?? '';
 			const after = Number(query.get('after'));
+			if (after > revision) {
+				reply(response, 410, {});
+				return;
+			}
+
 			const eventsAfter = () =>
 				history.filter(event => event.revision > after && event.key.startsWith(prefix));
 			const watch = {
@@ -75,7 +87,8 @@
 	};
 
 	const server = http.createServer((request, response) => {
-		if (isSilent) {
+		if (isAway) {
+			request.destroy();
 			return;
 		}
 
@@ -111,9 +124,26 @@
 				record({key, revision, deleted: true});
 			}
 		},
-		/** While silent, the store accepts connections and answers nothing. */
-		setSilent(value) {
-			isSilent = value;
+		/** Keeps a copy of what is stored now. */
+		keepCopy() {
+			copy = {items: new Map(items), revision, length: history.length};
+		},
+		leave() {
+			isAway = true;
+			server.closeAllConnections();
+			watches.clear();
+		},
+		/** Comes back from the copy: what was written since is gone, and the era rises. */
+		returnFromCopy() {
+			items.clear();
+			for (const [key, item] of copy.items) {
+				items.set(key, item);
+			}
+
+			history.length = copy.length;
+			({revision} = copy);
+			era++;
+			isAway = false;
 		},
 		stop() {
 			server.close();
