--- a/review/stand-ins-2/record.js
+++ b/review/stand-ins-2/record.js
@@ -32,9 +32,39 @@
 	const record = createRecord(folder);
 	const temporaryFolder = mkdtempSync(path.join(os.tmpdir(), 'review-'));
 	const cleanups = [];
-	let exitCode = 2;
+
+	async function end(exitCode) {
+		for (const cleanup of cleanups.splice(0).toReversed()) {
+			try {
+				await cleanup();
+			} catch (error) {
+				record.note('clean-up failed', {error: String(error)});
+			}
+		}
+
+		record.flush();
+		if (process.env.KEEP_LOGS === undefined) {
+			rmSync(temporaryFolder, {recursive: true, force: true});
+		} else {
+			process.stdout.write(`${temporaryFolder}\n`);
+		}
+
+		// Connections that are still open would keep the process alive.
+		// eslint-disable-next-line unicorn/no-process-exit
+		process.exit(exitCode);
+	}
+
+	async function fail(error) {
+		record.note('the case could not run', {error: String(error?.stack ?? error)});
+		await end(2);
+	}
+
+	process.on('uncaughtException', fail);
+	process.on('SIGTERM', fail);
+	process.on('SIGINT', fail);
+	let breaches;
 	try {
-		const breaches = await play({
+		breaches = await play({
 			note: record.note,
 			now: record.now,
 			folder: temporaryFolder,
@@ -42,34 +72,17 @@
 				cleanups.push(cleanup);
 			},
 		});
-		for (const breach of breaches) {
-			record.note('RULE BROKEN', breach);
-		}
-
-		record.note(breaches.length > 0 ? 'the rule was broken' : 'the rule held', {
-			breaches: breaches.length,
-		});
-		exitCode = breaches.length > 0 ? 1 : 0;
 	} catch (error) {
-		record.note('the case could not run', {error: String(error?.stack ?? error)});
-	}
-
-	for (const cleanup of cleanups.toReversed()) {
-		try {
-			await cleanup();
-		} catch (error) {
-			record.note('clean-up failed', {error: String(error)});
-		}
+		await fail(error);
+		return;
 	}
 
-	record.flush();
-	if (process.env.KEEP_LOGS === undefined) {
-		rmSync(temporaryFolder, {recursive: true, force: true});
-	} else {
-		process.stdout.write(`${temporaryFolder}\n`);
+	for (const breach of breaches) {
+		record.note('RULE BROKEN', breach);
 	}
 
-	// Connections that are still open would keep the process alive.
-	// eslint-disable-next-line unicorn/no-process-exit
-	process.exit(exitCode);
+	record.note(breaches.length > 0 ? 'the rule was broken' : 'the rule held', {
+		breaches: breaches.length,
+	});
+	await end(breaches.length > 0 ? 1 : 0);
 }
