Log requests whose connection closes before the turn of their response

What callers saw: a request that was sent behind another one on its connection, and was lost with it, left no line in the log, so it could not be told what had closed the connection.

Cause: Node emits no 'close' on a response whose connection closes before the response has got it, and the log line was written on that event.

Change: `response-order` keeps the order of the responses on a connection and tells each of its turn and its end, also when the connection closes. The line `request` has `closedFor`, why this instance closed the connection, and `behind`, how many earlier responses were unfinished; the hop `turn` tells how long the earlier responses took. `shallotctl explain` names both.

--- a/packages/gateway/src/request-log.ts
+++ b/packages/gateway/src/request-log.ts
@@ -51,7 +51,7 @@
 						},
 					};
 				},
-				end(status) {
+				end(status, cut) {
 					const duration = clock.monotonic() - startedAt;
 					metrics.recordDuration('request-duration', duration);
 					log.write('request', {
@@ -61,6 +61,8 @@
 						workspace,
 						status,
 						ms: Math.round(duration),
+						closedFor: cut?.reason,
+						behind: cut?.earlierResponses,
 						hops,
 						...options.configurationState(),
 					});
--- a/packages/io-http/src/__tests__/graceful-stop.test.ts
+++ b/packages/io-http/src/__tests__/graceful-stop.test.ts
@@ -4,10 +4,10 @@
  * guards against a stop that one slow request delays without limit.
  */
 import http from 'node:http';
-import net from 'node:net';
 import {afterEach, expect, test} from '@jest/globals';
 import {defaultDialect} from '../request-dialect.js';
 import {
+	connectCaller,
 	createFixture,
 	key,
 	problemOf,
@@ -33,30 +33,16 @@
 const requestLine = `GET / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\n\r\n`;
 
 /** A keep-alive caller that sends its next request when the test calls `sendRequest`. */
-function connectCaller() {
-	const socket = net.connect(fixture.listener.port, '127.0.0.1');
-	const caller = {
-		text: '',
-		isClosed: false,
-		write: (text: string) => socket.write(text),
-		sendRequest: () => socket.write(requestLine),
-	};
-	socket.setEncoding('latin1');
-	socket.on('data', chunk => {
-		caller.text += String(chunk);
-	});
-	socket.on('error', () => undefined);
-	socket.on('close', () => {
-		caller.isClosed = true;
-	});
-	return caller;
+function connectKeepAliveCaller() {
+	const caller = connectCaller(fixture);
+	return Object.assign(caller, {sendRequest: () => caller.write(requestLine)});
 }
 
 const countResponses = (text: string) => text.match(/HTTP\/1\.1 200 /g)?.length ?? 0;
 
 test('a leaving instance still serves requests, and closes each connection after the response', async () => {
 	await start();
-	const caller = connectCaller();
+	const caller = connectKeepAliveCaller();
 	caller.sendRequest();
 	await waitUntil(() => countResponses(caller.text) === 1);
 	expect(caller.text.toLowerCase()).not.toContain('connection: close');
@@ -75,7 +61,7 @@
 	let openSlot: (() => void) | undefined;
 	await start({listener: {limits: {keepAliveTimeout: 2000}}});
 	const {acquireSlot} = fixture.policy;
-	const idle = connectCaller();
+	const idle = connectKeepAliveCaller();
 	idle.sendRequest();
 	await waitUntil(() => countResponses(idle.text) === 1);
 
@@ -145,7 +131,7 @@
 	fixture.target.setBehaviour({kind: 'wait'});
 	const taken = send(fixture, {method: 'POST', body: 'swap'});
 	await waitUntil(() => fixture.received().length === 1);
-	const caller = connectCaller();
+	const caller = connectKeepAliveCaller();
 	caller.write(`POST / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\nContent-Length: 4\r\n\r\nsw`);
 	await waitUntil(() => fixture.state.admitted === 2);
 	fixture.listener.beginLeaving();
@@ -178,7 +164,7 @@
 		hasManualClock: true,
 		listener: {dialect, limits: {maxHeldResponseBytes: 2 * size}},
 	});
-	const idle = connectCaller();
+	const idle = connectKeepAliveCaller();
 	idle.sendRequest();
 	await waitUntil(() => countResponses(idle.text) === 1);
 	const body = 'handbook'.repeat(size / 8);
@@ -220,7 +206,7 @@
 	fixture.target.queueBehaviours({kind: 'stall'}, {kind: 'file', size: 50_000, stopAfter: 20_000});
 	const stalled = send(fixture, {method: 'POST', body: 'swap'});
 	await waitUntil(() => fixture.received().length === 1);
-	const caller = connectCaller();
+	const caller = connectKeepAliveCaller();
 	caller.sendRequest();
 	await waitUntil(() => countResponses(caller.text) === 1);
 	fixture.listener.stopListening();
--- a/packages/io-http/src/__tests__/support.ts
+++ b/packages/io-http/src/__tests__/support.ts
@@ -261,6 +261,28 @@
 	});
 }
 
+/** Opens a connection on which the test sends requests and reads all that is returned. */
+export function connectCaller(fixture: Fixture) {
+	const socket = net.connect(fixture.listener.port, '127.0.0.1');
+	const caller = {
+		socket,
+		text: '',
+		isClosed: false,
+		write: (text: string) => socket.write(text),
+	};
+	socket.setEncoding('latin1');
+	socket.on('data', chunk => {
+		caller.text += String(chunk);
+	});
+	socket.on('error', () => undefined);
+	socket.on('close', () => {
+		caller.isClosed = true;
+	});
+	return caller;
+}
+
+export type Caller = ReturnType<typeof connectCaller>;
+
 /** Resolves when the condition holds. The timeout only ends a test that would hang. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
 	for (let tries = 0; !condition(); tries++) {
--- a/packages/io-http/src/caller-connection.ts
+++ b/packages/io-http/src/caller-connection.ts
@@ -10,9 +10,12 @@
 import {type MemoryAccount, type MemoryHolder} from './memory-account.js';
 import {type ParseSchedule} from './parse-schedule.js';
 import {createReadGate} from './read-gate.js';
+import {createResponseOrder, type ResponseTurn} from './response-order.js';
 
-/** A request whose response is not closed. */
+/** A request whose response has not ended. */
 export type OpenRequest = {
+	/** The place of the response among those of the connection. */
+	readonly turn: ResponseTurn;
 	/** Counts memory that the request newly holds, estimated bytes. */
 	hold(bytes: number): void;
 	/** Notes that the request is passed on to a target. */
@@ -38,6 +41,8 @@
 	 * when (monotonic milliseconds) it has read none of them; `now` if none wait.
 	 */
 	countUnread(now: number): number;
+	/** Why this instance closes the connection; undefined while it does not. */
+	closeReason: string | undefined;
 	/** To be called when the socket has closed. */
 	close(): void;
 };
@@ -79,13 +84,15 @@
 export function createCallerConnection(options: CallerConnectionOptions): CallerConnection {
 	const {socket, account, maxPipelinedRequests} = options;
 	const requests = new Set<Cancellation>();
-	const responses = new Set<ServerResponse>();
+	const order = createResponseOrder();
+	const {responses} = order;
 	const forwarded = new Set<ServerResponse>();
 	let latestRequest: IncomingMessage | undefined;
 	let servedBytes: number | undefined;
 	let unreadBytes = 0;
 	let heldBackBytes = 0;
 	let isClosing = false;
+	let closeReason: string | undefined;
 	let bodyPartBytes = firstBodyPartBytes;
 	/** Bytes of responses that have left the process, and when that number last changed. */
 	let sentBytes = 0;
@@ -102,7 +109,7 @@
 		},
 	});
 
-	const turn = options.parseSchedule.open(() => {
+	const parsingTurn = options.parseSchedule.open(() => {
 		gate.update();
 	});
 
@@ -125,7 +132,7 @@
 
 	const gate = createReadGate(socket, {
 		clock: options.clock,
-		isOpen: () => mayParse() && turn.request(),
+		isOpen: () => mayParse() && parsingTurn.request(),
 		isDiscarding: () => isClosing,
 		partBytes: () => (latestRequest?.complete === false ? bodyPartBytes : headPartBytes),
 		onHeldChange(bytes) {
@@ -133,7 +140,7 @@
 			holder.change(bytes);
 		},
 		onParsed(bytes, duration) {
-			turn.record(duration);
+			parsingTurn.record(duration);
 			const fitting = Math.floor((bytes * bodyPartMs) / Math.max(duration, minMeasuredMs));
 			bodyPartBytes = Math.min(maxBodyPartBytes, Math.max(minBodyPartBytes, fitting));
 		},
@@ -176,13 +183,18 @@
 		set isClosing(value) {
 			isClosing = value;
 		},
+		get closeReason() {
+			return closeReason;
+		},
+		set closeReason(value) {
+			closeReason = value;
+		},
 		begin(request, response) {
 			let heldBytes = requestCost;
 			latestRequest = request;
-			responses.add(response);
+			const turn = order.add(response);
 			request.on('resume', gate.update);
-			response.once('close', () => {
-				responses.delete(response);
+			turn.onEnd(() => {
 				forwarded.delete(response);
 				holder.change(-heldBytes);
 				countUnread();
@@ -191,8 +203,9 @@
 			});
 			holder.change(heldBytes);
 			return {
+				turn,
 				hold(bytes) {
-					if (responses.has(response)) {
+					if (!turn.hasEnded) {
 						heldBytes += bytes;
 						holder.change(bytes);
 					}
@@ -211,9 +224,8 @@
 		},
 		close() {
 			holder.close();
-			turn.close();
-			responses.clear();
-			forwarded.clear();
+			parsingTurn.close();
+			order.close(closeReason);
 		},
 	};
 }
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -253,6 +253,13 @@
 		sendProblem(response, problem, {mustClose, dialect});
 	}
 
+	function noteCloseReason(socket: Duplex, reason: string): void {
+		const connection = callerConnections.get(socket);
+		if (connection !== undefined) {
+			connection.closeReason = reason;
+		}
+	}
+
 	function finish(request: IncomingMessage, response: ServerResponse, result: ForwardResult): void {
 		if (response.destroyed) {
 			// The caller has disconnected.
@@ -263,12 +270,14 @@
 			respondWithProblem(request, response, result.problem);
 		} else if (result.kind === 'reset') {
 			counters.increment('reset-answers', result.reason);
+			noteCloseReason(request.socket, result.reason);
 			resetSocket(request.socket);
 		}
 	}
 
 	function closeConnection(socket: Duplex, reason: string): void {
 		counters.increment('closed-connections', reason);
+		noteCloseReason(socket, reason);
 		socket.destroy();
 	}
 
@@ -316,6 +325,7 @@
 			const received = {
 				request,
 				response,
+				turn: openRequest.turn,
 				cancellation,
 				head,
 				expectsContinue,
@@ -545,6 +555,7 @@
 
 			for (const [socket, {requests}] of callerConnections) {
 				if (requests.size > 0) {
+					noteCloseReason(socket, 'stopped');
 					resetSocket(socket as Socket);
 				}
 			}
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -32,6 +32,7 @@
 import {type RequestDialect} from './request-dialect.js';
 import {type GrantedIdempotencyClaim, type RequestPolicy} from './request-policy.js';
 import {type RequestSpan, type RequestTracer} from './request-tracer.js';
+import {type ResponseTurn} from './response-order.js';
 
 export type RequestHandlerOptions = {
 	readonly policy: RequestPolicy;
@@ -51,6 +52,7 @@
 export type ReceivedRequest = {
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
+	readonly turn: ResponseTurn;
 	readonly cancellation: Cancellation;
 	/** As returned by `checkRequestHead`. */
 	readonly head: RequestHead;
@@ -394,7 +396,17 @@
 						});
 			response.once('close', () => {
 				stopWatching?.();
-				span.end(response.writableFinished ? response.statusCode : 0);
+			});
+			const {turn} = received;
+			if (!turn.hasBegun) {
+				const turnSpan = span.startHop('turn');
+				turn.onBegin(() => {
+					turnSpan.end('ok');
+				});
+			}
+
+			turn.onEnd(cut => {
+				span.end(cut === undefined ? response.statusCode : 0, cut);
 			});
 			return forward(received, authorized, deadlines, span);
 		},
--- a/packages/io-http/src/request-tracer.ts
+++ b/packages/io-http/src/request-tracer.ts
@@ -2,7 +2,9 @@
  * Hooks for tracing: one span for a request and one for each of its hops. The interface keeps the
  * request path independent of a tracing library; the default does nothing.
  */
-export type HopName = 'admit' | 'queue' | 'attempt';
+import {type ResponseCut} from './response-order.js';
+
+export type HopName = 'admit' | 'queue' | 'attempt' | 'turn';
 
 export type HopSpan = {
 	/** Value of `traceparent` for the target; undefined if the request is not traced. */
@@ -17,7 +19,7 @@
 export type RequestSpan = {
 	startHop(name: HopName, attributes?: Readonly<Record<string, string | number>>): HopSpan;
 	/** `status` is the status code of the response; 0 if the response was cut. */
-	end(status: number): void;
+	end(status: number, cut: ResponseCut | undefined): void;
 };
 
 export type RequestTracer = {
--- a/packages/shallotctl/src/__tests__/request-explanation.test.ts
+++ b/packages/shallotctl/src/__tests__/request-explanation.test.ts
@@ -47,6 +47,18 @@
 		expect(explanation.context[0]).toMatchObject({message: 'target-suspected', instance: 'a'});
 	});
 
+	test('a response that was cut is explained with who closed its connection, and what it waited for', () => {
+		const causeOf = (fields: Record<string, unknown>) =>
+			explainRequest(
+				[createLine(5, 'a', 'request', {id: 'r1', status: 0, hops: [{hop: 'turn'}], ...fields})],
+				'r1',
+			)!.cause;
+		expect(causeOf({behind: 0})).toContain('the caller disconnected');
+		const cause = causeOf({closedFor: 'incomplete-answer', behind: 2});
+		expect(cause).toContain('the instance closed the connection (incomplete-answer)');
+		expect(cause).toContain('2 earlier responses');
+	});
+
 	test('a second attempt that was refused or lost its race does not hide the cause', () => {
 		const hops = [
 			{hop: 'queue', result: 'ok'},
--- a/packages/shallotctl/src/request-explanation.ts
+++ b/packages/shallotctl/src/request-explanation.ts
@@ -102,6 +102,16 @@
 	return (hop === 'queue' && hedge === 1) || result === 'lost-race';
 }
 
+function cutCauseOf({closedFor, behind}: LogLine): string {
+	const cause =
+		typeof closedFor === 'string'
+			? `the instance closed the connection (${closedFor}) before the response was complete`
+			: 'the caller disconnected before the response was complete';
+	return typeof behind === 'number' && behind > 0
+		? `${cause}; ${behind} earlier responses on it were unfinished`
+		: cause;
+}
+
 function causeOf(line: LogLine): string {
 	if (line.message === 'request-refused') {
 		return causesByCode[String(line.code)] ?? `refused as ${String(line.code)}`;
@@ -113,7 +123,7 @@
 	}
 
 	if (line.status === 0) {
-		return 'the caller disconnected before the response was complete';
+		return cutCauseOf(line);
 	}
 
 	if (typeof line.status === 'number' && line.status < minErrorStatus) {
--- a/packages/shallotpond/src/request-tracer.ts
+++ b/packages/shallotpond/src/request-tracer.ts
@@ -12,7 +12,12 @@
  * a response that was not sent completely.
  */
 const minErrorStatus = 500;
-const spanKinds = {admit: 'internal', queue: 'internal', attempt: 'client'} as const;
+const spanKinds = {
+	admit: 'internal',
+	queue: 'internal',
+	attempt: 'client',
+	turn: 'internal',
+} as const;
 
 export type RequestTracerOptions = {
 	readonly tracing: Tracing;
