Keep responses that wait for their turn, instead of cutting the ones before

Cause: nothing knew the turn of a response on its connection. What is written before it stays in the buffer of the runtime, which looks like a caller that reads slowly: the pump paused the target, did not see the end of a response that had arrived, and its timer ended the request as cancelled. Its head counted as sent, so it ended by a reset of the connection, and so did a target that broke off, although none of these bytes had left the process.

Change: the pump holds a response until its turn. The target is read on and its slot is free when the response has arrived; before the turn nothing has begun, so a failure is replaced as before any head. What waits is bounded by a quarter of the memory for callers, all together, and counts in the account of its connection; beyond it targets wait, and at the end of the time give way to 504. The same memory takes what slow callers do not read yet where the whole body fits, so that a response which has arrived is no longer cut at its time.

--- a/packages/io-http/src/__tests__/pipelined-requests.test.ts
+++ b/packages/io-http/src/__tests__/pipelined-requests.test.ts
@@ -10,6 +10,7 @@
 	connectCaller,
 	createFixture,
 	key,
+	otherKey,
 	waitUntil,
 	type Caller,
 	type Fixture,
@@ -21,6 +22,8 @@
 const answerReserve = 200;
 const first = {id: 'first', timeout: 5000, answerTimeout: 5000 + answerReserve};
 const queued = {id: 'queued', timeout: 1000, answerTimeout: 1000 + answerReserve};
+/** Milliseconds after which the first request is answered: beyond the time of the queued one. */
+const firstWork = 3000;
 
 async function start(options: FixtureOptions = {}): Promise<void> {
 	const routes = [first, queued].map(route => ({
@@ -39,8 +42,15 @@
 	expect(fixture.state.internalErrors).toEqual([]);
 });
 
-function requestFor(route: 'first' | 'queued', number = 1, headers = ''): string {
-	return `GET /${route}/${number} HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\n${headers}\r\n`;
+function requestFor(route: 'first' | 'queued', number = 1, callerKey = key): string {
+	return `GET /${route}/${number} HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${callerKey}\r\n\r\n`;
+}
+
+/** The status codes of the responses, in the order in which they arrived. */
+function statusesOf(text: string): number[] {
+	return [...text.matchAll(/HTTP\/1\.1 (?<status>\d{3}) /g)].map(({groups}) =>
+		Number(groups!.status),
+	);
 }
 
 const waiting: StandInTargetBehaviour = {kind: 'wait'};
@@ -52,22 +62,185 @@
 async function sendAhead(
 	behaviours: readonly StandInTargetBehaviour[],
 	firstBehaviour: StandInTargetBehaviour = waiting,
+	firstKey = key,
 ) {
+	const {received} = fixture;
+	const earlier = received().length;
 	const caller = connectCaller(fixture);
 	fixture.target.queueBehaviours(firstBehaviour);
-	caller.write(requestFor('first'));
-	const {received} = fixture;
-	await waitUntil(() => received().length === 1);
+	caller.write(requestFor('first', 1, firstKey));
+	await waitUntil(() => received().length === earlier + 1);
 	for (const [index, behaviour] of behaviours.entries()) {
 		fixture.target.queueBehaviours(behaviour);
 		caller.write(requestFor('queued', index));
-		await waitUntil(() => received().length === index + 2);
+		await waitUntil(() => received().length === earlier + index + 2);
 	}
 
 	return caller;
 }
 
 const body = (bytes: number) => 'b'.repeat(bytes);
+const chunkedBody = (bytes: number) =>
+	'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n' +
+	`${bytes.toString(16)}\r\n${body(bytes)}\r\n0\r\n\r\n`;
+
+// Without the wait for its turn, the queued response held up its target, and the time for it reset
+// the connection.
+test.each<[string, StandInTargetBehaviour[]]>([
+	['100 KB', [{kind: 'answer', body: body(100_000)}]],
+	['600 KB', [{kind: 'answer', body: body(600_000)}]],
+	['600 KB in chunks', [{kind: 'raw', bytes: chunkedBody(600_000)}]],
+	['three of 30 KB', Array.from({length: 3}, () => ({kind: 'answer', body: body(30_000)}))],
+])(
+	'a response (%s) that is ready before its turn frees its target, and is delivered after the one before it',
+	async (_what, behaviours) => {
+		await start();
+		const caller = await sendAhead(behaviours);
+		await waitUntil(() => fixture.state.openGrants === 1);
+		fixture.clock.advance(firstWork);
+		expect(fixture.state.outcomes.map(({result}) => result)).toEqual(behaviours.map(() => 'ok'));
+		fixture.target.releaseWaitingRequests();
+		const statuses = await readAll(caller, 1 + behaviours.length);
+		expect(statuses).toEqual([200, ...behaviours.map(() => 200)]);
+		expect(caller.text.indexOf('"url":"/first/1"')).toBeLessThan(caller.text.indexOf('bbb'));
+		expect(caller.isClosed).toBe(false);
+		caller.socket.destroy();
+	},
+);
+
+/** Resolves with the status codes when the responses to all requests have been written. */
+async function readAll(caller: Caller, responses: number): Promise<number[]> {
+	await waitUntil(() => caller.isClosed || statusesOf(caller.text).length === responses);
+	await waitUntil(() => fixture.listener.activeRequests === 0);
+	return statusesOf(caller.text);
+}
+
+const cutAfter = (bytes: number): StandInTargetBehaviour => ({
+	kind: 'raw',
+	bytes: `HTTP/1.1 200 OK\r\nContent-Length: 3000000\r\n\r\n${body(bytes)}`,
+	ends: true,
+});
+
+// Each of these reset the connection, or the one that was read in part did.
+test.each<[string, StandInTargetBehaviour, number]>([
+	['breaks off after 1.5 MB', cutAfter(1_500_000), 502],
+	['breaks off after 20 KB', cutAfter(20_000), 502],
+	['is silent until the timeout', {kind: 'stall'}, 504],
+])(
+	'a target that %s before the turn of its response costs no other response',
+	async (_what, behaviour, status) => {
+		await start({listener: {limits: {maxHeldBytes: 16_000_000}}});
+		const caller = await sendAhead([behaviour, {kind: 'answer', body: body(100_000)}]);
+		await waitUntil(() => fixture.state.outcomes.some(({result}) => result === 'ok'));
+		fixture.clock.advance(firstWork);
+		fixture.target.releaseWaitingRequests();
+		expect(await readAll(caller, 3)).toEqual([200, status, 200]);
+		caller.write(requestFor('queued'));
+		expect(await readAll(caller, 4)).toEqual([200, status, 200, 200]);
+		caller.socket.destroy();
+	},
+);
+
+const size = 200_000;
+const large: StandInTargetBehaviour = {kind: 'file', size};
+/** A quarter of it is for responses that wait: one large one, and no second. */
+const scarceMemory: FixtureOptions = {listener: {limits: {maxHeldBytes: 1_000_000}}};
+
+test('responses that find no memory to wait in hold up their targets and are delivered whole', async () => {
+	await start(scarceMemory);
+	const caller = await sendAhead([large, large, large]);
+	await waitUntil(() => fixture.state.openGrants === 3);
+	fixture.clock.advance(queued.timeout / 2);
+	fixture.target.releaseWaitingRequests();
+	expect(await readAll(caller, 4)).toEqual([200, 200, 200, 200]);
+	expect(caller.text.length).toBeGreaterThan(3 * size);
+	expect(fixture.state.outcomes.every(({result}) => result === 'ok')).toBe(true);
+	caller.socket.destroy();
+});
+
+// Guards against slots of targets that callers hold for longer than a request may take.
+test('a response that holds up its target until its time is over gives way to a problem', async () => {
+	await start(scarceMemory);
+	const caller = await sendAhead([large, large, large]);
+	await waitUntil(() => fixture.state.openGrants === 3);
+	fixture.clock.advance(queued.answerTimeout);
+	await waitUntil(() => fixture.state.openGrants === 1);
+	expect(fixture.state.outcomes.map(({result}) => result)).toEqual([
+		'ok',
+		'cancelled',
+		'cancelled',
+	]);
+	fixture.target.releaseWaitingRequests();
+	expect(await readAll(caller, 4)).toEqual([200, 200, 504, 504]);
+	expect(caller.text).toContain('"code":"deadline-exceeded","outcome":"may-have-run"');
+	expect(caller.isClosed).toBe(false);
+	caller.socket.destroy();
+});
+
+async function leaveDuringWait(): Promise<void> {
+	const caller = await sendAhead([large]);
+	await waitUntil(() => fixture.state.openGrants === 1);
+	caller.socket.destroy();
+	await waitUntil(() => fixture.state.openGrants === 0);
+	expect(fixture.listener.activeRequests).toBe(0);
+}
+
+test('a caller that leaves while responses wait for their turn gives their memory back', async () => {
+	await start(scarceMemory);
+	await leaveDuringWait();
+	await leaveDuringWait();
+	await leaveDuringWait();
+});
+
+// The response was cut at its timeout, although its target had sent it long before.
+test('a response that has arrived in time reaches a caller that reads it later', async () => {
+	const bytes = 20_000_000;
+	await start();
+	fixture.target.setBehaviour({kind: 'file', size: bytes});
+	const caller = connectCaller(fixture);
+	caller.socket.pause();
+	caller.write(requestFor('queued'));
+	await waitUntil(() => fixture.state.outcomes.length === 1);
+	fixture.clock.advance(firstWork);
+	caller.socket.resume();
+	expect(await readAll(caller, 1)).toEqual([200]);
+	expect(caller.text.length).toBeGreaterThan(bytes);
+	caller.socket.destroy();
+});
+
+test('a slow caller ends with the time of its response if that is too large to be kept for it', async () => {
+	await start(scarceMemory);
+	fixture.target.setBehaviour({kind: 'file', size: 20_000_000});
+	const caller = connectCaller(fixture);
+	caller.socket.once('data', () => {
+		caller.socket.pause();
+	});
+	caller.write(requestFor('queued'));
+	await waitUntil(() => caller.text !== '');
+	fixture.clock.advance(queued.answerTimeout);
+	await waitUntil(() => fixture.state.openGrants === 0);
+	expect(fixture.state.outcomes[0]!.result).not.toBe('ok');
+	caller.socket.resume();
+	await waitUntil(() => caller.isClosed);
+	expect(caller.text.length).toBeLessThan(20_000_000);
+});
+
+test('a key that is withdrawn ends the requests whose responses have not arrived, each in its turn', async () => {
+	await start();
+	const caller = await sendAhead(
+		[{kind: 'answer', body: body(100_000)}, {kind: 'stall'}],
+		waiting,
+		otherKey,
+	);
+	await waitUntil(() => fixture.state.openGrants === 2);
+	fixture.withdrawKey();
+	fixture.clock.advance(500);
+	await waitUntil(() => fixture.state.openGrants === 1);
+	fixture.target.releaseWaitingRequests();
+	expect(await readAll(caller, 3)).toEqual([200, 200, 401]);
+	caller.socket.destroy();
+});
+
 type RequestEnd = {readonly status: number; readonly cut: ResponseCut | undefined};
 
 // Node emits no event on a response whose connection closes before its turn.
--- a/packages/io-http/src/caller-connection.ts
+++ b/packages/io-http/src/caller-connection.ts
@@ -16,7 +16,7 @@
 export type OpenRequest = {
 	/** The place of the response among those of the connection. */
 	readonly turn: ResponseTurn;
-	/** Counts memory that the request newly holds, estimated bytes. */
+	/** Counts memory that the request newly holds, or releases if negative; estimated bytes. */
 	hold(bytes: number): void;
 	/** Notes that the request is passed on to a target. */
 	setForwarded(): void;
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -33,7 +33,8 @@
 	createRepeatedResponseFilter,
 	type RepeatedResponseFilter,
 } from './repeated-response-filter.js';
-import {pumpResponse, type CallerFraming, type PumpResult} from './response-pump.js';
+import {pumpResponse, type CallerFraming, type PumpEnd} from './response-pump.js';
+import {type ResponseTurn} from './response-order.js';
 import {startAttempt, type AttemptResponse, type AttemptFailure} from './attempt.js';
 import {createLightweightAbortController, type AbortSignalLike} from './abort-signal.js';
 import {raceAttempts, type RaceEntry} from './attempt-race.js';
@@ -105,6 +106,9 @@
 	readonly cancellation: Cancellation;
 	readonly span: RequestSpan;
 	readonly response: ServerResponse;
+	readonly turn: ResponseTurn;
+	/** Called with the bytes of a response that begin to wait for its turn, or cease to if negative. */
+	readonly onQueuedChange: (bytes: number) => void;
 };
 
 export type ForwardResult =
@@ -169,6 +173,11 @@
  * connect timeout.
  */
 const maxUncountedTargets = 2;
+/**
+ * Fraction of the memory for callers that responses may take which wait for their turn or for a slow
+ * caller, so that what others need is left.
+ */
+const maxQueuedFraction = 0.25;
 const minServerErrorStatus = 500;
 /** Methods whose requests are sent without `Content-Length: 0` if their body is empty. */
 const bodilessMethods: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE', 'OPTIONS']);
@@ -207,6 +216,30 @@
 	setback: {kind: 'setback', code: 'incomplete-answer', runState: 'may-have-run'},
 };
 
+/** The results of responses that were not delivered whole. */
+const pumpFailures: Readonly<Record<Exclude<PumpEnd, 'complete'>, RefusedResponse>> = {
+	blank: {
+		result: 'incomplete',
+		setback: {kind: 'setback', code: 'incomplete-answer', runState: 'ran'},
+	},
+	cut: mismatchedResponse,
+	overdue: mismatchedResponse,
+	stalled: {result: 'timeout', setback: mismatchedResponse.setback},
+	expired: {
+		result: 'cancelled',
+		setback: {
+			kind: 'setback',
+			code: 'deadline-exceeded',
+			runState: 'may-have-run',
+			isFinal: true,
+		},
+	},
+	cancelled: {
+		result: 'cancelled',
+		setback: {kind: 'setback', code: 'cancelled', runState: 'may-have-run'},
+	},
+};
+
 /** The setback of a server error that is not forwarded while another attempt is in progress. */
 function serverErrorSetbackOf({statusCode = 0}: IncomingMessage): Setback | undefined {
 	return statusCode >= minServerErrorStatus
@@ -272,6 +305,8 @@
 export function createForwarder(options: ForwarderOptions): Forwarder {
 	const {policy, clock, limits, counters, connections, dialect} = options;
 	const holdBudget = createByteBudget(limits.maxTotalHeldResponseBytes);
+	const maxQueuedBytes = Math.floor(limits.maxHeldBytes * maxQueuedFraction);
+	const queueBudget = createByteBudget(maxQueuedBytes);
 
 	function isIdempotent(request: ForwardedRequest): boolean {
 		return request.route.idempotentMethods.includes(request.method);
@@ -490,9 +525,9 @@
 	async function pump(
 		request: ForwardedRequest,
 		progress: Progress,
-		grant: SlotGrant,
-		attempt: AttemptResponse,
-	): Promise<PumpResult> {
+		{leg, attempt}: AcceptedAttempt,
+		onReceived: () => void,
+	): Promise<PumpEnd> {
 		const {targetResponse} = attempt;
 		const {route, method, response} = request;
 		const minBodyBytes = progress.hasResponseBegun
@@ -508,11 +543,14 @@
 			length === undefined
 				? Math.max(1, minBodyBytes, isUnframed ? limits.maxHeldResponseBytes : 0)
 				: Math.max(1, Math.min(length, limits.maxHeldResponseBytes), isTooShort ? minBodyBytes : 0);
+		// A body that does not fit is sent at the pace of its caller.
+		const maxAheadBytes = length ?? limits.maxHeldResponseBytes;
 		const {download, forwardedBytes} = progress;
 		const result = await pumpResponse({
 			clock,
 			targetResponse,
 			response,
+			turn: request.turn,
 			begin(framing) {
 				if (!progress.hasResponseBegun) {
 					beginResponse(request, targetResponse, framing);
@@ -524,6 +562,10 @@
 			},
 			holdBytes: progress.hasResponseBegun ? 0 : holdBytes,
 			holdBudget,
+			queueBudget,
+			maxAheadBytes: maxAheadBytes > maxQueuedBytes ? 0 : maxAheadBytes,
+			onQueuedChange: request.onQueuedChange,
+			onReceived,
 			minBodyBytes,
 			exactBytes:
 				download === undefined
@@ -535,48 +577,53 @@
 					? undefined
 					: request.responseDeadline - clock.monotonic(),
 			callerStallTimeout: limits.callerStallTimeout,
-			signals: [request.cancellation.signal, grant.signal],
+			signals: [request.cancellation.signal, leg.grant.signal],
 			unframed: isUnframed
 				? {filter: createFilter(request, attempt), wasReset: attempt.wasReset}
 				: undefined,
 		});
 		progress.forwardedBytes += result.forwardedBytes;
-		return result;
+		return result.end;
 	}
 
-	/** Streams the body of an accepted response and releases the slot. */
+	/**
+	 * Streams the body of an accepted response. Releases the slot when the body has arrived, which may
+	 * be before the caller gets it.
+	 */
 	async function deliver(
 		request: ForwardedRequest,
 		progress: Progress,
 		accepted: AcceptedAttempt,
 	): Promise<ForwardResult | Setback> {
-		const {leg, times, attempt} = accepted;
+		const {leg, times, attempt, span, basis} = accepted;
 		const {targetResponse} = attempt;
-		const {end} = await pump(request, progress, leg.grant, attempt);
-		if (end === 'complete') {
+		const end = await pump(request, progress, accepted, () => {
 			release(leg, times, targetResponse.statusCode! >= minServerErrorStatus ? 'error' : 'ok');
+			span.end('delivered', basis);
+		});
+		if (end === 'complete') {
 			endResponse(request.response, targetResponse);
 			return {kind: 'delivered'};
 		}
 
-		if (end === 'blank') {
-			release(leg, times, 'incomplete');
-			return {kind: 'setback', code: 'incomplete-answer', runState: 'ran'};
+		if (leg.isReleased) {
+			// The response has arrived, but its connection closed before its turn.
+			return {kind: 'setback', code: 'cancelled', runState: 'ran', isFinal: true};
 		}
 
-		// Bytes of this response may still arrive on the connection, so it must not be reused.
-		attempt.destroy();
-		if (end === 'cancelled') {
-			release(leg, times, 'cancelled');
-			return {kind: 'setback', code: 'cancelled', runState: 'may-have-run'};
+		if (end !== 'blank') {
+			// Bytes of this response may still arrive on the connection, so it must not be reused.
+			attempt.destroy();
 		}
 
-		release(leg, times, end === 'stalled' ? 'timeout' : 'incomplete');
+		const {result, setback} = pumpFailures[end];
+		release(leg, times, result);
 		if (end === 'stalled') {
 			connections.discardIdle(leg.grant.target);
 		}
 
-		return {kind: 'setback', code: 'incomplete-answer', runState: 'may-have-run'};
+		span.end(setback.code, basis);
+		return setback;
 	}
 
 	/** Sends the request to the target of one leg and checks the head of the response. */
@@ -715,10 +762,7 @@
 			return attempt;
 		}
 
-		const {leg, span, basis} = attempt;
-		const result = await runLeg(leg, async () => deliver(request, progress, attempt));
-		span.end(result.kind === 'setback' ? result.code : result.kind, basis);
-		return result;
+		return runLeg(attempt.leg, async () => deliver(request, progress, attempt));
 	}
 
 	/** Makes one attempt, and a second one if the policy hedges the request. */
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -58,7 +58,7 @@
 	readonly head: RequestHead;
 	/** Whether the caller waits for `100 Continue` before it sends the body. */
 	readonly expectsContinue: boolean;
-	/** Called with the estimated bytes of memory that the request newly holds. */
+	/** Called with the estimated bytes of memory that the request newly holds, or releases if negative. */
 	readonly onHeld: (bytes: number) => void;
 	/** Called when the request is about to be passed on to targets. */
 	readonly onForward: () => void;
@@ -347,6 +347,8 @@
 				cancellation,
 				span,
 				response,
+				turn: received.turn,
+				onQueuedChange: received.onHeld,
 			});
 			return result;
 		} finally {
--- a/packages/io-http/src/response-pump.ts
+++ b/packages/io-http/src/response-pump.ts
@@ -2,6 +2,9 @@
  * Streams the body of a target's response to the caller with back-pressure, and reports how it
  * ended. The head is held back together with the first bytes of the body, so that a response that
  * turns out to be too short or cut early can still be replaced by another attempt.
+ *
+ * A response whose turn on its connection has not begun is held back altogether: a failure can be
+ * replaced until then, and its target need not wait for the responses before it.
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
@@ -12,6 +15,7 @@
 import {createIdleTimer, type IdleTimer} from './idle-timer.js';
 import {type AbortSignalLike} from './abort-signal.js';
 import {type RepeatedResponseFilter} from './repeated-response-filter.js';
+import {type ResponseTurn} from './response-order.js';
 
 export type PumpEnd =
 	/** All bytes that the framing announces have arrived. */
@@ -26,11 +30,16 @@
 	| 'cut'
 	/** The target sent nothing for `stallTimeout`. */
 	| 'stalled'
-	/** The time for the whole response was over while the caller did not hold up the target. */
+	/** The time for the whole response was over while nothing held up the target. */
 	| 'overdue'
 	/**
-	 * One of the signals aborted, the caller read nothing for `callerStallTimeout`, or the time for
-	 * the whole response was over while the caller held up the target.
+	 * The time for the whole response was over while the response waited for its turn and, for want
+	 * of memory, held up the target.
+	 */
+	| 'expired'
+	/**
+	 * One of the signals aborted, the caller is gone or read nothing for `callerStallTimeout`, or the
+	 * time for the whole response was over while the caller held up the target.
 	 */
 	| 'cancelled';
 
@@ -53,6 +62,7 @@
 	readonly clock: Clock;
 	readonly targetResponse: IncomingMessage;
 	readonly response: ServerResponse;
+	readonly turn: Pick<ResponseTurn, 'hasBegun' | 'onBegin' | 'onEnd'>;
 	/** Called before the first byte is forwarded. */
 	readonly begin: (framing: CallerFraming) => void;
 	/** Bytes of the body to wait for before anything is forwarded; 0 if the response has begun. */
@@ -62,16 +72,37 @@
 	 * arrived.
 	 */
 	readonly holdBudget: ByteBudget;
+	/**
+	 * Shared by all responses that wait for their turn or for their callers. If it is used up, they
+	 * hold up their targets.
+	 */
+	readonly queueBudget: ByteBudget;
+	/**
+	 * Maximum bytes that are read ahead of the caller once the response has begun, so that a slow
+	 * caller does not hold up the target.
+	 */
+	readonly maxAheadBytes: number;
+	/** Called with the bytes that begin to wait for the turn, or cease to if negative. */
+	readonly onQueuedChange: (bytes: number) => void;
+	/**
+	 * Called when the whole response has arrived, so that its target is done. The response may still
+	 * have to wait for its turn.
+	 */
+	readonly onReceived: () => void;
 	/** Minimum bytes of a complete body; checked if the body ends before anything is forwarded. */
 	readonly minBodyBytes: number;
 	/** Bytes that the body must have, whatever its framing says; undefined for any number. */
 	readonly exactBytes: number | undefined;
 	/** Maximum silence of the target, milliseconds. */
 	readonly stallTimeout: number;
-	/** Milliseconds left for the whole response; undefined for no limit. */
+	/**
+	 * Milliseconds in which the whole response must arrive, also if the caller holds up the target;
+	 * undefined for no limit.
+	 */
 	readonly timeLeft: number | undefined;
 	/** Maximum time in which the caller reads nothing, milliseconds. */
 	readonly callerStallTimeout: number;
+	/** Have no effect once the whole response has arrived. */
 	readonly signals: readonly AbortSignalLike[];
 	/** Set if only the end of the connection marks the end of the body. */
 	readonly unframed?: {
@@ -90,14 +121,20 @@
 
 /** Never rejects. The caller of this function destroys the target's response if necessary. */
 export async function pumpResponse(options: PumpOptions): Promise<PumpResult> {
-	const {clock, targetResponse, response, unframed, exactBytes = Infinity} = options;
+	const {clock, targetResponse, response, turn, unframed, exactBytes = Infinity} = options;
 	return new Promise(resolve => {
 		const heldChunks: Uint8Array[] = [];
 		let heldBytes = 0;
-		/** Held bytes that were taken from the budget. */
-		let budgetedBytes = 0;
+		/** Bytes taken from each budget. */
+		const taken = {hold: 0, queue: 0};
+		/** Bytes forwarded ahead of the caller since it last had read all. */
+		let aheadBytes = 0;
+		/** Held bytes that wait for the turn, whether the budget had room for them or not. */
+		let queuedBytes = 0;
+		let isHoldBudgetUsedUp = false;
 		let forwardedBytes = 0;
 		let hasBegun = false;
+		let isReceived = false;
 		let isFinished = false;
 		const targetTimer = createIdleTimer(clock, options.stallTimeout, () => {
 			finish('stalled');
@@ -108,30 +145,55 @@
 			options.timeLeft === undefined
 				? undefined
 				: clock.after(Math.max(0, options.timeLeft), () => {
-						// If the caller reads too slowly, the target is not at fault.
-						finish(targetResponse.isPaused() ? 'cancelled' : 'overdue');
+						if (targetResponse.isPaused()) {
+							// The target is not at fault.
+							finish(hasBegun ? 'cancelled' : 'expired');
+						} else {
+							finish('overdue');
+						}
 					});
 		let stopListening: () => void = () => undefined;
 
+		/** Ends what depends on the target: timers, signals and events. */
+		function leaveTarget(): void {
+			targetTimer.stop();
+			cancelTotalTimer?.();
+			stopListening();
+			targetResponse.off('data', handleData).off('end', handleEnd).off('close', handleClose);
+		}
+
 		function finish(end: PumpEnd): void {
 			if (isFinished) {
 				return;
 			}
 
 			isFinished = true;
-			targetTimer.stop();
+			leaveTarget();
 			callerTimer?.stop();
-			cancelTotalTimer?.();
-			stopListening();
-			releaseBudget();
-			targetResponse.off('data', handleData).off('end', handleEnd).off('close', handleClose);
+			releaseHeld();
+			if (!hasBegun) {
+				releaseQueue();
+			}
+
 			response.off('drain', handleDrain);
 			resolve({end, forwardedBytes});
 		}
 
-		function releaseBudget(): void {
-			options.holdBudget.release(budgetedBytes);
-			budgetedBytes = 0;
+		/** To be called when nothing waits for the turn or the caller any more. */
+		function releaseQueue(): void {
+			options.queueBudget.release(taken.queue);
+			taken.queue = 0;
+			aheadBytes = 0;
+		}
+
+		/** To be called when the held bytes have been forwarded or are not needed. */
+		function releaseHeld(): void {
+			options.holdBudget.release(taken.hold);
+			options.onQueuedChange(-queuedBytes);
+			taken.hold = 0;
+			queuedBytes = 0;
+			heldChunks.length = 0;
+			heldBytes = 0;
 		}
 
 		function startCallerTimer(): void {
@@ -145,12 +207,33 @@
 			});
 		}
 
+		/** Stops reading from the target, which is then not at fault for its silence. */
+		function holdUpTarget(): void {
+			targetResponse.pause();
+			targetTimer.suspend();
+		}
+
+		function readOn(): void {
+			targetTimer.touch();
+			targetResponse.resume();
+		}
+
+		function takeFromQueue(bytes: number): boolean {
+			const isTaken = options.queueBudget.take(bytes);
+			taken.queue += isTaken ? bytes : 0;
+			return isTaken;
+		}
+
+		/** Whether the bytes, which the caller does not read yet, may wait for it in memory. */
+		function mayReadAhead(bytes: number): boolean {
+			aheadBytes += bytes;
+			return aheadBytes <= options.maxAheadBytes && takeFromQueue(bytes);
+		}
+
 		function forward(chunk: Uint8Array): void {
 			forwardedBytes += chunk.length;
-			if (!response.write(chunk)) {
-				// While the caller reads slowly, the target is not at fault for its silence.
-				targetResponse.pause();
-				targetTimer.suspend();
+			if (!response.write(chunk) && !mayReadAhead(chunk.length)) {
+				holdUpTarget();
 				startCallerTimer();
 			}
 		}
@@ -165,35 +248,52 @@
 				return;
 			}
 
-			if (heldBytes > 0) {
-				forward(heldChunks.length === 1 ? heldChunks[0]! : Buffer.concat(heldChunks, heldBytes));
-				heldChunks.length = 0;
+			const body = heldChunks.length === 1 ? heldChunks[0]! : Buffer.concat(heldChunks, heldBytes);
+			releaseHeld();
+			releaseQueue();
+			if (body.length > 0) {
+				forward(body);
 			}
-
-			releaseBudget();
 		}
 
-		function takeBody(chunk: Uint8Array): void {
-			if (forwardedBytes + chunk.length > exactBytes) {
-				finish('cut');
+		function hold(chunk: Uint8Array): void {
+			heldChunks.push(chunk);
+			heldBytes += chunk.length;
+			if (turn.hasBegun) {
+				const isBudgeted = options.holdBudget.take(chunk.length);
+				taken.hold += isBudgeted ? chunk.length : 0;
+				isHoldBudgetUsedUp ||= !isBudgeted;
 				return;
 			}
 
-			if (hasBegun) {
-				forward(chunk);
-				return;
+			queuedBytes += chunk.length;
+			options.onQueuedChange(chunk.length);
+			if (!takeFromQueue(chunk.length)) {
+				holdUpTarget();
 			}
+		}
 
-			heldChunks.push(chunk);
-			heldBytes += chunk.length;
-			const isBudgeted = options.holdBudget.take(chunk.length);
-			budgetedBytes += isBudgeted ? chunk.length : 0;
+		/** Begins to forward the response if enough of it has arrived. */
+		function tryBegin(): void {
 			// A body below the minimum is held in any case, because it must not be forwarded.
-			if (heldBytes >= options.holdBytes || (!isBudgeted && heldBytes >= options.minBodyBytes)) {
+			const isEnough =
+				heldBytes >= options.holdBytes || (isHoldBudgetUsedUp && heldBytes >= options.minBodyBytes);
+			if (turn.hasBegun && heldBytes > 0 && isEnough) {
 				begin('default');
 			}
 		}
 
+		function takeBody(chunk: Uint8Array): void {
+			if (forwardedBytes + heldBytes + chunk.length > exactBytes) {
+				finish('cut');
+			} else if (hasBegun) {
+				forward(chunk);
+			} else {
+				hold(chunk);
+				tryBegin();
+			}
+		}
+
 		function handleData(chunk: Uint8Array): void {
 			targetTimer.touch();
 			const bytes = unframed?.filter === undefined ? chunk : unframed.filter.push(chunk);
@@ -241,8 +341,20 @@
 
 		function handleDrain(): void {
 			callerTimer?.suspend();
-			targetTimer.touch();
-			targetResponse.resume();
+			releaseQueue();
+			readOn();
+		}
+
+		function handleTurn(): void {
+			if (isReceived || isFinished) {
+				return;
+			}
+
+			if (targetResponse.isPaused()) {
+				readOn();
+			}
+
+			tryBegin();
 		}
 
 		function handleEnd(): void {
@@ -257,17 +369,28 @@
 				return;
 			}
 
-			if (!hasBegun) {
-				if (heldBytes < options.minBodyBytes) {
-					finish('blank');
-					return;
-				}
-
-				begin(framingOfHeldBody(isBodyCertain));
+			if (forwardedBytes + heldBytes < (options.exactBytes ?? 0)) {
+				finish('cut');
+			} else if (!hasBegun && heldBytes < options.minBodyBytes) {
+				finish('blank');
+			} else {
+				deliver(framingOfHeldBody(isBodyCertain));
 			}
+		}
 
-			// If `begin` failed, it has already called `finish`, and this call does nothing.
-			finish(forwardedBytes < (options.exactBytes ?? 0) ? 'cut' : 'complete');
+		/** Forwards what is left of a whole response as soon as its turn has begun. */
+		function deliver(framing: CallerFraming): void {
+			isReceived = true;
+			leaveTarget();
+			options.onReceived();
+			turn.onBegin(() => {
+				if (!hasBegun && !isFinished) {
+					begin(framing);
+				}
+
+				// If `begin` failed, it has already called `finish`, and this call does nothing.
+				finish('complete');
+			});
 		}
 
 		function handleClose(): void {
@@ -281,6 +404,14 @@
 		stopListening = onAbort(options.signals, () => {
 			finish('cancelled');
 		});
+		turn.onEnd(() => {
+			finish('cancelled');
+			releaseQueue();
+		});
+		if (!turn.hasBegun) {
+			turn.onBegin(handleTurn);
+		}
+
 		if (targetResponse.destroyed && !targetResponse.complete) {
 			finish('cut');
 		}
