Close a connection behind earlier responses without a reset

What callers saw: a caller that reads slowly got only a part of a response that was complete, because the one behind it on its connection broke off.

Cause: a response that has begun and cannot be completed ended by a reset, and a reset discards what the operating system has not sent yet, also of earlier responses.

Change: behind an earlier response the connection is closed in order. The cut response shows that it is not whole by its length or chunks; one that is marked by the end of the connection alone, and the first of a connection, are reset as before.

--- a/packages/io-http/src/__tests__/pipelined-requests.test.ts
+++ b/packages/io-http/src/__tests__/pipelined-requests.test.ts
@@ -265,3 +265,17 @@
 		[0, 1, 2].map(earlierResponses => ({status: 0, cut: {reason, earlierResponses}})),
 	);
 });
+
+// The reset discarded what the operating system had not sent yet.
+test('a response that is cut leaves the earlier ones whole, also for a caller that has not read them', async () => {
+	const bytes = 300_000;
+	await start();
+	fixture.target.queueBehaviours({kind: 'answer', body: body(bytes)}, cutAfter(1_500_000));
+	const caller = connectCaller(fixture);
+	caller.socket.pause();
+	caller.write(requestFor('first') + requestFor('queued'));
+	await waitUntil(() => fixture.state.counts.has('reset-answers incomplete-answer'));
+	caller.socket.resume();
+	await waitUntil(() => caller.isClosed);
+	expect(caller.text.split('HTTP/1.1')[1]!.length).toBeGreaterThan(bytes);
+});
--- a/packages/io-http/src/caller-connection.ts
+++ b/packages/io-http/src/caller-connection.ts
@@ -24,6 +24,8 @@
 
 export type CallerConnection = {
 	readonly requests: Set<Cancellation>;
+	/** Responses that have not ended, the earliest first. */
+	readonly responses: ReadonlySet<ServerResponse>;
 	/** Bytes that had been read and parsed when the latest response was written, or undefined. */
 	readonly servedBytes: number | undefined;
 	/** Whether bytes that were read wait until further requests may be parsed. */
@@ -170,6 +172,7 @@
 	holder.change(connectionCost);
 	return {
 		requests,
+		responses,
 		openedAt: options.openedAt,
 		get servedBytes() {
 			return servedBytes;
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -153,12 +153,21 @@
 /** Declared bytes of a refused, unread body up to which its connection stays open. */
 const maxDrainedBodyBytes = 65_536;
 
-function resetSocket(socket: Socket): void {
-	if (socket instanceof TLSSocket) {
-		// A close without the TLS close alert tells the caller that bytes are missing.
-		socket.destroy();
-	} else {
+/**
+ * Closes a connection within a response, by a reset, so that no caller takes the part for the whole.
+ * A reset discards what the operating system has not sent yet, so there is none behind an earlier
+ * response, unless only the end of the connection marks the end of this one.
+ */
+function cutConnection(socket: Socket, {responses, servedBytes}: CallerConnection): void {
+	const isUnframed = [...responses].some(
+		({headersSent, useChunkedEncodingByDefault}) => headersSent && !useChunkedEncodingByDefault,
+	);
+	const mustReset = isUnframed || servedBytes === undefined;
+	if (mustReset && !(socket instanceof TLSSocket)) {
 		socket.resetAndDestroy();
+	} else {
+		// A close without the TLS close alert tells the caller that bytes are missing, too.
+		socket.destroy();
 	}
 }
 
@@ -253,13 +262,6 @@
 		sendProblem(response, problem, {mustClose, dialect});
 	}
 
-	function noteCloseReason(socket: Duplex, reason: string): void {
-		const connection = callerConnections.get(socket);
-		if (connection !== undefined) {
-			connection.closeReason = reason;
-		}
-	}
-
 	function finish(request: IncomingMessage, response: ServerResponse, result: ForwardResult): void {
 		if (response.destroyed) {
 			// The caller has disconnected.
@@ -270,14 +272,21 @@
 			respondWithProblem(request, response, result.problem);
 		} else if (result.kind === 'reset') {
 			counters.increment('reset-answers', result.reason);
-			noteCloseReason(request.socket, result.reason);
-			resetSocket(request.socket);
+			const connection = callerConnections.get(request.socket);
+			if (connection !== undefined) {
+				connection.closeReason = result.reason;
+				cutConnection(request.socket, connection);
+			}
 		}
 	}
 
 	function closeConnection(socket: Duplex, reason: string): void {
 		counters.increment('closed-connections', reason);
-		noteCloseReason(socket, reason);
+		const connection = callerConnections.get(socket);
+		if (connection !== undefined) {
+			connection.closeReason = reason;
+		}
+
 		socket.destroy();
 	}
 
@@ -553,10 +562,10 @@
 				});
 			}
 
-			for (const [socket, {requests}] of callerConnections) {
-				if (requests.size > 0) {
-					noteCloseReason(socket, 'stopped');
-					resetSocket(socket as Socket);
+			for (const [socket, connection] of callerConnections) {
+				if (connection.requests.size > 0) {
+					connection.closeReason = 'stopped';
+					cutConnection(socket as Socket, connection);
 				}
 			}
 		},
