Ask for a body only when it is the turn of its response

Cause: the interim response was written before the turn of its response. The runtime kept it and put the head of the final response in front of it.

Change: the handler waits for the turn before it asks for the body. A request whose time is over by then is refused as not run, and so is one whose body took too long; before, it was sent to a target with 1 ms left.

--- a/packages/io-http/src/__tests__/pipelined-requests.test.ts
+++ b/packages/io-http/src/__tests__/pipelined-requests.test.ts
@@ -306,3 +306,54 @@
 	await waitUntil(() => caller.isClosed);
 	expect(statusesOf(caller.text)).toEqual([401, 401, 401]);
 });
+
+const expectingHead =
+	'POST /queued/1 HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n' +
+	`Content-Length: 4\r\nX-Api-Key: ${key}\r\n\r\n`;
+
+// Written before its turn, the interim response ended up in the body of the final one.
+test('100 Continue for a request that was sent ahead comes before the head of its response', async () => {
+	await start();
+	const caller = await sendAhead([]);
+	fixture.target.queueBehaviours({kind: 'answer', headers: {'content-length': '5'}, body: 'whole'});
+	// A caller need not wait for the interim response before it sends the body.
+	caller.write(`${expectingHead}swap`);
+	await waitUntil(() => fixture.state.admitted === 2);
+	await new Promise(resolve => {
+		setTimeout(resolve, 50);
+	});
+	expect(caller.text).toBe('');
+	fixture.target.releaseWaitingRequests();
+	await waitUntil(() => fixture.listener.activeRequests === 0);
+	const [firstResponse, interim, final] = caller.text.split(/(?=HTTP\/1\.1 )/);
+	expect(firstResponse).toContain('"url":"/first/1"');
+	expect(interim).toBe('HTTP/1.1 100 Continue\r\n\r\n');
+	expect(final).toMatch(/^HTTP\/1\.1 200 .*\r\n\r\nwhole$/s);
+	expect(fixture.received()[1]).toMatchObject({isComplete: true, body: 'swap'});
+	caller.socket.destroy();
+});
+
+test('a caller that leaves while its 100 Continue waits leaves nothing behind', async () => {
+	await start();
+	const caller = await sendAhead([]);
+	caller.write(expectingHead);
+	await waitUntil(() => fixture.state.admitted === 2);
+	caller.socket.destroy();
+	await waitUntil(() => fixture.listener.activeRequests === 0);
+	await waitUntil(() => fixture.state.openGrants === 0);
+	expect(fixture.received()).toHaveLength(1);
+});
+
+test('a request whose time is over before its body can be asked for is refused as not run', async () => {
+	await start();
+	const caller = await sendAhead([]);
+	caller.write(expectingHead);
+	await waitUntil(() => fixture.state.admitted === 2);
+	fixture.clock.advance(firstWork);
+	fixture.target.releaseWaitingRequests();
+	await waitUntil(() => caller.text.includes('100 Continue'));
+	caller.write('swap');
+	await waitUntil(() => caller.text.includes('"code":"deadline-exceeded","outcome":"not-run"'));
+	expect(fixture.received()).toHaveLength(1);
+	caller.socket.destroy();
+});
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -197,6 +197,19 @@
 	};
 }
 
+/** Tells the caller to send the body, once nothing is left to be written before. */
+async function requestBody({response, turn}: ReceivedRequest): Promise<void> {
+	await new Promise<void>(resolve => {
+		turn.onBegin(resolve);
+		turn.onEnd(() => {
+			resolve();
+		});
+	});
+	if (!turn.hasEnded) {
+		response.writeContinue();
+	}
+}
+
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
 	const {policy, clock, limits, forwarder, dialect} = options;
 
@@ -262,7 +275,7 @@
 		const {head, route} = authorized;
 		const isTooLarge = (head.bodyLength ?? 0) > route.largestRequestBody;
 		if (received.expectsContinue && !isTooLarge) {
-			received.response.writeContinue();
+			await requestBody(received);
 		}
 
 		return readRequestBody(received.request, {
@@ -315,6 +328,10 @@
 			return refuse(bodyFailureProblems[body]);
 		}
 
+		if (clock.monotonic() >= deadline) {
+			return refuse('deadline-exceeded');
+		}
+
 		// The instance may have begun to stop while the body arrived.
 		if (!options.mayTake(deadline)) {
 			return refuse('stopping', stoppingRetryAfterMs);
