Let go of requests whose connection closes before their turn

Cause: the watch of a request's key ended with the 'close' of its response, which the runtime does not emit before the turn of the response. The request and what it held stayed in memory.

Change: the watch and the set of active requests end with the turn.

Evidence: the new test found 2 keys checked on, and finds none.

--- a/packages/io-http/src/__tests__/pipelined-requests.test.ts
+++ b/packages/io-http/src/__tests__/pipelined-requests.test.ts
@@ -5,6 +5,7 @@
  */
 import {afterEach, expect, test} from '@jest/globals';
 import {type StandInTargetBehaviour} from '@shallotpond/testkit/stand-in-target';
+import {defaultHttpLimits} from '../http-limits.js';
 import {type ResponseCut} from '../response-order.js';
 import {
 	connectCaller,
@@ -357,3 +358,23 @@
 	expect(fixture.received()).toHaveLength(1);
 	caller.socket.destroy();
 });
+
+// Each such request stayed in memory for good, until the process ended.
+test('the keys of requests whose connection has closed are not watched any more', async () => {
+	await start();
+	const caller = await sendAhead([{kind: 'stall'}, {kind: 'stall'}]);
+	caller.socket.destroy();
+	await waitUntil(() => fixture.state.openGrants === 0);
+	fixture.withdrawKey();
+	const tables = fixture.state.tables!;
+	let checkedKeys = 0;
+	fixture.state.tables = {
+		...tables,
+		isActiveKeyDigest(...parameters) {
+			checkedKeys++;
+			return tables.isActiveKeyDigest(...parameters);
+		},
+	};
+	fixture.clock.advance(defaultHttpLimits.keyCheckInterval);
+	expect(checkedKeys).toBe(0);
+});
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -330,7 +330,7 @@
 		const cancellation = createCancellation();
 		requests.add(cancellation);
 		activeRequests.add(cancellation);
-		response.once('close', () => {
+		openRequest.turn.onEnd(() => {
 			requests.delete(cancellation);
 			activeRequests.delete(cancellation);
 		});
@@ -417,13 +417,11 @@
 		callerConnections.set(socket, connection);
 		socket.once('close', () => {
 			callerConnections.delete(socket);
-			connection.close();
 			for (const cancellation of requests) {
 				cancellation.cancel('caller-gone');
-				activeRequests.delete(cancellation);
 			}
 
-			requests.clear();
+			connection.close();
 		});
 		if (callerConnections.size >= maxConnections) {
 			makeRoom();
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -416,9 +416,6 @@
 								cancellation.cancel('key-withdrawn');
 							},
 						});
-			response.once('close', () => {
-				stopWatching?.();
-			});
 			const {turn} = received;
 			if (!turn.hasBegun) {
 				const turnSpan = span.startHop('turn');
@@ -428,6 +425,7 @@
 			}
 
 			turn.onEnd(cut => {
+				stopWatching?.();
 				span.end(cut === undefined ? response.statusCode : 0, cut);
 			});
 			return forward(received, authorized, deadlines, span);
