Look up only prefixes of a path that are as long as a route's

Cause: `findRoute` looked up each prefix of a path and hashed each over its whole length: quadratic in the length of the path.

Change: only prefixes as long as one of the routes' are looked up.

--- a/packages/configuration/src/lookup-tables.ts
+++ b/packages/configuration/src/lookup-tables.ts
@@ -37,15 +37,9 @@
 	isDomainActive(failureDomain: string): boolean;
 };
 
-/** Splits `/a/b` into the prefixes `/a/b`, `/a/`, `/a` and `/`, longest first. */
-function prefixesOf(path: string): string[] {
-	const prefixes = [path];
-	for (let end = path.lastIndexOf('/'); end > 0; end = path.lastIndexOf('/', end - 1)) {
-		prefixes.push(path.slice(0, end + 1), path.slice(0, end));
-	}
-
-	prefixes.push('/');
-	return prefixes;
+/** Whether the first `length` characters of the path are whole segments, as in `/a/` and `/a`. */
+function endsAtSegment(path: string, length: number): boolean {
+	return length === path.length || path[length] === '/' || path[length - 1] === '/';
 }
 
 function matchesHostAndMethod(route: RouteDefinition, query: RouteQuery): boolean {
@@ -64,6 +58,11 @@
 		}
 	}
 
+	/** Lengths of the prefixes of routes, the longest first. */
+	const prefixLengths = [...new Set([...routesByPrefix.keys()].map(({length}) => length))].sort(
+		(first, second) => second - first,
+	);
+
 	const workspaceByDigest = new Map<string, string>();
 	for (const [name, workspace] of Object.entries(document.workspaces)) {
 		for (const digest of workspace.keyDigests) {
@@ -81,9 +80,16 @@
 	return {
 		document,
 		findRoute(query) {
-			for (const prefix of prefixesOf(query.path)) {
+			const {path} = query;
+			// Each prefix is hashed over its length, so only those as long as a route's are looked up:
+			// callers choose the paths, and the cost of all prefixes is quadratic in the length of one.
+			for (const length of prefixLengths) {
+				if (length > path.length || !endsAtSegment(path, length)) {
+					continue;
+				}
+
 				const route = routesByPrefix
-					.get(prefix)
+					.get(path.slice(0, length))
 					?.find(candidate => matchesHostAndMethod(candidate, query));
 				if (route !== undefined) {
 					return route;
