--- a/packages/io-http/src/__tests__/pipelined-requests.test.ts
+++ b/packages/io-http/src/__tests__/pipelined-requests.test.ts
@@ -378,3 +378,15 @@
 	fixture.clock.advance(defaultHttpLimits.keyCheckInterval);
 	expect(checkedKeys).toBe(0);
 });
+
+test('a refusal that closes the connection comes behind the responses to earlier requests', async () => {
+	await start();
+	const caller = await sendAhead([{kind: 'answer', body: body(100_000)}]);
+	caller.write('GET /queued/9 HTTP/1.1\r\n\r\n');
+	await waitUntil(() => fixture.state.counts.has('refusals invalid-host'));
+	caller.write(requestFor('queued', 10));
+	fixture.target.releaseWaitingRequests();
+	await waitUntil(() => caller.isClosed);
+	expect(statusesOf(caller.text)).toEqual([200, 200, 400]);
+	expect(fixture.received()).toHaveLength(2);
+});
