--- a/packages/shallotctl/src/request-explanation.ts
+++ b/packages/shallotctl/src/request-explanation.ts
@@ -78,6 +78,8 @@
 	'connection-broken': 'the connection broke after the request was sent, so it may have run',
 	incomplete: 'the response of the target was cut or belonged to another request',
 	'incomplete-answer': 'the response of the target was cut or belonged to another request',
+	'deadline-exceeded':
+		'the response waited for its turn without memory to arrive in, until its time was over',
 	misdirected: 'another process was using the address of the target',
 	error: 'the target failed; no attempt was left or the retry budget was used up',
 	cancelled:
