--- a/packages/io-http/src/__tests__/pipelined-requests.test.ts
+++ b/packages/io-http/src/__tests__/pipelined-requests.test.ts
@@ -206,7 +206,7 @@
 	fixture.clock.advance(firstWork);
 	caller.socket.resume();
 	expect(await readAll(caller, 1)).toEqual([200]);
-	expect(caller.text.length).toBeGreaterThan(bytes);
+	await waitUntil(() => caller.text.length > bytes);
 	caller.socket.destroy();
 });
 
@@ -326,7 +326,7 @@
 	});
 	expect(caller.text).toBe('');
 	fixture.target.releaseWaitingRequests();
-	await waitUntil(() => fixture.listener.activeRequests === 0);
+	await waitUntil(() => caller.text.endsWith('whole'));
 	const [firstResponse, interim, final] = caller.text.split(/(?=HTTP\/1\.1 )/);
 	expect(firstResponse).toContain('"url":"/first/1"');
 	expect(interim).toBe('HTTP/1.1 100 Continue\r\n\r\n');
