Review: resets of idle connections make the fleet refuse a request for good

Cause: a reset of an idle connection counts as a crash of the target, and a request with three of them is refused for ten minutes and never tried.

--- a/review/stand-ins-3/target-server.js
+++ b/review/stand-ins-3/target-server.js
@@ -20,8 +20,8 @@
  * @param options.isUnframed - Decides for each run whether its answer has no length and ends with
  * the connection.
  * @param options.workMs - Milliseconds that a run takes.
- * @param options.losesAnswer - Decides for each run whether its answer is lost: the connection is
- * reset at its end.
+ * @param options.forgetsAfterMs - Returns the milliseconds after which a connection that rested is
+ * reset at its next use; default: never.
  * @param options.coldMs - Milliseconds for which the server is cold after its start; default: 0.
  */
 export function createTargetServer(options) {
@@ -34,10 +34,11 @@
 		onRun,
 		coldMs = 0,
 		isUnframed = () => false,
-		losesAnswer = () => false,
+		forgetsAfterMs = () => Number.POSITIVE_INFINITY,
 	} = options;
 	const born = Date.now();
 	const waiting = [];
+	const lastUsedAt = new WeakMap();
 	let busy = 0;
 	let sequence = 0;
 	let checkIn;
@@ -69,6 +70,7 @@
 		}
 
 		response.end(body);
+		lastUsedAt.set(request.socket, performance.now());
 	}
 
 	function run(request, response) {
@@ -80,9 +82,7 @@
 			server: id,
 		});
 		setTimeout(() => {
-			if (losesAnswer()) {
-				request.socket.resetAndDestroy();
-			} else if (!response.destroyed) {
+			if (!response.destroyed) {
 				answer(request, response, `${id}:${headers['x-shallotpond-request-id']}`);
 			}
 
@@ -101,6 +101,12 @@
 	}
 
 	const server = http.createServer({keepAliveTimeout: 10_000}, (request, response) => {
+		const restedFor = performance.now() - (lastUsedAt.get(request.socket) ?? performance.now());
+		if (restedFor > forgetsAfterMs()) {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
 		request.resume();
 		request.once('end', () => {
 			const expected = request.headers['x-shallotpond-target-instance'];
