Do not take a reset by a running target for a crash

Cause: each broken connection counted as a crash of its target. A target that forgot an idle connection, or lost a response, resets it as a crashed one does, but takes the next connection. Only a response ended the refusal, and a refused request gets none. An instance that ran the request without suspecting it told nobody.

Change: a target that breaks a connection is asked for another one; if it keeps that open, nothing is recorded. A refused request is tried again 20, 60 and 180 s after the latest crash, by one instance at a time. Reports name the requests that an instance refuses, so that another one that has them run clears them.

Tests: the stand-in target "crashed" by closing a connection and ran on. It now ends like a process, and the behaviour `reset` is what it did before; the assertions of the tests that use it are unchanged, but for the new hop `check` and for a fourth target that new instances are told of. "a request whose connections targets reset ..." fails without the check (502 in place of 200).

--- a/packages/gateway/src/gateway-request-policy.ts
+++ b/packages/gateway/src/gateway-request-policy.ts
@@ -90,6 +90,14 @@
 	runState: 'not-run',
 };
 
+/** Milliseconds in which one instance may try refused requests again, before it is another's turn. */
+const trialTurnMs = 4000;
+/**
+ * Milliseconds from the begin of a turn in which a trial may start, so that its result is known
+ * before the next turn.
+ */
+const trialStartMs = 3000;
+
 export function createGatewayRequestPolicy(options: GatewayRequestPolicyOptions): RequestPolicy {
 	const {
 		clock,
@@ -105,6 +113,30 @@
 		log,
 		metrics,
 	} = options;
+	/**
+	 * Whether it is this instance's turn to try requests that crashed targets. Instances whose clocks
+	 * or members differ may have the same turn.
+	 */
+	function hasTrialTurn(): boolean {
+		const time = clock.wall().getTime();
+		return time % trialTurnMs < trialStartMs && roster.hasTurn(Math.floor(time / trialTurnMs));
+	}
+
+	function isRefusedAsCrashing(fingerprint: string): boolean {
+		const now = clock.monotonic();
+		if (!crashes.isRefused(fingerprint, now)) {
+			return false;
+		}
+
+		if (hasTrialTurn() && crashes.takeTrial(fingerprint, now)) {
+			log.write('crashing-request-tried', {fingerprint});
+			return false;
+		}
+
+		crashes.recordRefusal(fingerprint, now);
+		return true;
+	}
+
 	return {
 		tables: () => configuration.tables,
 		isIsolated: configuration.isUncertain,
@@ -140,7 +172,7 @@
 		}),
 		async acquireAttemptPermit(fingerprint) {
 			const needsDigest = crashes.hasSuspects;
-			if (needsDigest && crashes.isRefused(shorten(fingerprint()), clock.monotonic())) {
+			if (needsDigest && isRefusedAsCrashing(shorten(fingerprint()))) {
 				return crashingRefusal;
 			}
 
--- a/packages/io-fleet/src/__tests__/fleet-codec.test.ts
+++ b/packages/io-fleet/src/__tests__/fleet-codec.test.ts
@@ -50,6 +50,21 @@
 		isLeaving: false,
 		leavingTargets: ['i-2@7'],
 		clearedRequests: ['c3d4'],
+		refusedRequests: [],
+	},
+	{
+		kind: 'report',
+		from,
+		isRelayed: false,
+		configuration: {version: 12, revision: 340, confirmedAgo: 250},
+		targets: [],
+		inFlight: [],
+		workspaces: [],
+		crashes: [],
+		isLeaving: false,
+		leavingTargets: [],
+		clearedRequests: [],
+		refusedRequests: ['e5f6'],
 	},
 	{kind: 'suspects-request', from},
 	{
@@ -98,7 +113,7 @@
 		const report = messages[2] as FleetMessage & {kind: 'report'};
 		const withEra = {...report, configuration: {...report.configuration, era: 4}};
 		const values = unpack(encodeFleetMessage(withEra)) as unknown[];
-		expect(decode(pack([...values, 'x'])).messages).toEqual([withEra]);
+		expect(decode(pack([...values, [], 'x'])).messages).toEqual([withEra]);
 		// An earlier version sends no era, so none may be made up for it.
 		expect(decode(pack(values.slice(0, -1))).messages).toEqual([report]);
 	});
--- a/packages/io-fleet/src/fleet-codec.ts
+++ b/packages/io-fleet/src/fleet-codec.ts
@@ -132,12 +132,21 @@
 	Array<[string, string]>,
 	string[],
 	string[],
-	number?,
+	...OptionalReportFields,
 ];
 
-/** Without a known era, a report is the same as one of an earlier version. */
-const eraFieldsOf = ({configuration: {era}}: FleetReport): [number?] =>
-	era === undefined ? [] : [era];
+/** Era, and fingerprints of refused requests. */
+type OptionalReportFields = [(number | undefined)?, string[]?];
+
+/** Without a known era and refusals, a report is the same as one of an earlier version. */
+function optionalFieldsOf(report: FleetReport): OptionalReportFields {
+	const {configuration, refusedRequests = []} = report;
+	if (refusedRequests.length > 0) {
+		return [configuration.era, [...refusedRequests]];
+	}
+
+	return configuration.era === undefined ? [] : [configuration.era];
+}
 
 const encoders = {
 	report: (report: FleetReport): ReportFields => [
@@ -167,7 +176,7 @@
 		report.crashes.map(({fingerprint, target}) => [fingerprint, target]),
 		[...report.leavingTargets],
 		[...report.clearedRequests],
-		...eraFieldsOf(report),
+		...optionalFieldsOf(report),
 	],
 	'suspects-request': () => [],
 	'suspects-answer': ({
@@ -204,6 +213,7 @@
 			leavingTargets = [],
 			clearedRequests = [],
 			era,
+			refusedRequests = [],
 		] = fields;
 		return {
 			kind: 'report',
@@ -223,6 +233,7 @@
 			crashes: toList(crashes, toCrash),
 			leavingTargets: toList(leavingTargets, toText),
 			clearedRequests: toList(clearedRequests, toText),
+			refusedRequests: toList(refusedRequests, toText),
 		};
 	},
 	'suspects-request': from => ({kind: 'suspects-request', from}),
--- a/packages/io-http/src/__tests__/at-most-once.test.ts
+++ b/packages/io-http/src/__tests__/at-most-once.test.ts
@@ -210,6 +210,28 @@
 	expect(fixture.received()).toHaveLength(2);
 });
 
+test('a request whose connections targets reset, but which run on, is not taken for one that crashes them', async () => {
+	await start({targets: 4, listener: {limits: {maxAttempts: 4}}});
+	for (const target of fixture.targets.slice(0, 3)) {
+		target.setBehaviour({kind: 'reset'});
+	}
+
+	expect(await send(fixture)).toMatchObject({status: 200});
+	expect(fixture.state.crashes).toEqual([]);
+	expect(fixture.state.counts.get('target-checks running')).toBe(3);
+});
+
+test('a target that accepts a connection and closes it at once counts as crashed', async () => {
+	await start({targets: 1});
+	fixture.target.setBehaviour({kind: 'wait'});
+	const sent = send(fixture, {method: 'POST'});
+	await waitUntil(() => fixture.received().length === 1);
+	fixture.target.refuseConnections();
+	fixture.received()[0]!.socket.destroy();
+	expect(problemOf(await sent).code).toBe('connection-broken');
+	expect(fixture.state.crashes).toEqual(['t0']);
+});
+
 test('a request counts as run to a response only where its target has run it', async () => {
 	const hasRun: boolean[] = [];
 	await start({
@@ -329,6 +351,7 @@
 	await send(fixture, {method: 'POST', headers});
 	fixture.target.queueBehaviours({kind: 'crash'});
 	await send(fixture, {method: 'POST', headers});
+	await fixture.target.start();
 	fixture.target.queueBehaviours({kind: 'shed'});
 	fixture.targets[1]!.queueBehaviours({kind: 'shed'});
 	await send(fixture, {method: 'POST', headers});
--- a/packages/io-http/src/__tests__/caller-listener.test.ts
+++ b/packages/io-http/src/__tests__/caller-listener.test.ts
@@ -119,11 +119,12 @@
 	const response = await send(fixture, {headers});
 	expect(response.body).toContain('trace-of-attempt');
 	expect(response.body).not.toContain('of-caller');
-	await waitUntil(() => spans.length === 6);
+	await waitUntil(() => spans.length === 7);
 	expect(spans).toEqual([
 		'admit admitted',
 		'queue ok',
 		'attempt connection-broken',
+		'check down',
 		'queue ok',
 		'attempt delivered',
 		'GET main of-caller 200',
--- a/packages/io-http/src/__tests__/hedged-requests.test.ts
+++ b/packages/io-http/src/__tests__/hedged-requests.test.ts
@@ -263,7 +263,7 @@
 
 		const response = send(fixture);
 		await waitUntil(() => fixture.targets[1]!.requests.length === 1);
-		fixture.targets[1]!.requests[0]!.socket.destroy();
+		fixture.targets[1]!.crash();
 		expect(await response).toMatchObject({status: 500});
 		await waitUntil(() => fixture.received().every(({isAborted}) => isAborted));
 		expect(fixture.state.internalErrors.splice(0)).toHaveLength(1);
--- a/packages/io-http/src/__tests__/parser-errors.test.ts
+++ b/packages/io-http/src/__tests__/parser-errors.test.ts
@@ -72,7 +72,7 @@
 test.each(earlyEnds)(
 	'a connection that ends %s still counts as a crash of the target',
 	async (_name, bytes) => {
-		fixture.target.setBehaviour({kind: 'raw', bytes, ends: true});
+		fixture.target.setBehaviour({kind: 'raw', bytes, ends: true, crashes: true});
 		expect(problemOf(await send(fixture)).code).toBe('connection-broken');
 		expect(fixture.state.outcomes).toMatchObject([{result: 'connection-broken'}]);
 		expect(fixture.state.crashes).toEqual(['t0']);
@@ -82,7 +82,7 @@
 test.each(earlyEnds)(
 	'a connection that is reset %s still counts as a crash of the target',
 	async (_name, bytes) => {
-		fixture.target.setBehaviour({kind: 'raw', bytes});
+		fixture.target.setBehaviour({kind: 'raw', bytes, crashes: true});
 		const sent = send(fixture);
 		await waitUntil(() => fixture.received()[0]?.isComplete === true);
 		fixture.received()[0]!.socket.resetAndDestroy();
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -60,7 +60,12 @@
 	type SlotRequest,
 } from './request-policy.js';
 import {type HopSpan, type RequestSpan} from './request-tracer.js';
-import {idleConnectionLimit, type TargetConnections} from './target-connections.js';
+import {checkTarget} from './target-check.js';
+import {
+	idleConnectionLimit,
+	parseTargetAddress,
+	type TargetConnections,
+} from './target-connections.js';
 
 export type ForwarderOptions = {
 	readonly policy: RequestPolicy;
@@ -145,6 +150,7 @@
 	attempts: number;
 	/** Attempts for which no connection was established, so that nothing was sent. */
 	unreachedTargets: number;
+	/** Broken connections after which the target no longer ran. */
 	crashes: number;
 	/** State of the request after all attempts so far, as `combineRunStates` computes it. */
 	runState: RunState;
@@ -166,10 +172,12 @@
 };
 
 /**
- * Number of broken connections after which a request is not tried again, because the request itself
- * may be what crashes the targets.
+ * Number of crashed targets after which a request is not tried again, because the request itself may
+ * be what crashes them.
  */
 const maxCrashesPerRequest = 2;
+/** Milliseconds in which a target that broke a connection must accept another one. */
+const checkTimeoutMs = 500;
 /**
  * Targets without a connection that do not count as attempts of a request. Each may take the whole
  * connect timeout.
@@ -629,6 +637,19 @@
 		return setback;
 	}
 
+	/** Whether a target that broke the connection of an attempt no longer runs. */
+	async function hasCrashed(request: ForwardedRequest, target: TargetDefinition): Promise<boolean> {
+		const span = request.span.startHop('check', {target: target.id});
+		const result = await checkTarget({
+			clock,
+			address: parseTargetAddress(target.address),
+			connectTimeout: checkTimeoutMs,
+		});
+		span.end(result);
+		counters.increment('target-checks', result);
+		return result === 'down';
+	}
+
 	/** Sends the request to the target of one leg and checks the head of the response. */
 	async function tryTarget(
 		request: ForwardedRequest,
@@ -695,7 +716,7 @@
 				progress.unreachedTargets++;
 			}
 
-			if (result === 'connection-broken') {
+			if (result === 'connection-broken' && (await hasCrashed(request, grant.target))) {
 				progress.crashes++;
 				await permit.reportCrash(grant.target.id);
 			} else {
--- a/packages/io-http/src/http-counters.ts
+++ b/packages/io-http/src/http-counters.ts
@@ -10,6 +10,8 @@
 	| 'parsing-delays'
 	/** Attempts at targets; the label is the result. */
 	| 'attempts'
+	/** Checks of targets that broke a connection; the label is the result, `running` or `down`. */
+	| 'target-checks'
 	/** Attempts to resume an interrupted download at another target. */
 	| 'resumes'
 	/** Responses that ended with a reset; the label is the reason. */
@@ -28,6 +30,7 @@
 	'memory-shortages': undefined,
 	'parsing-delays': undefined,
 	attempts: 'result',
+	'target-checks': 'result',
 	resumes: undefined,
 	'reset-answers': 'reason',
 	'unexpected-bytes': undefined,
--- a/packages/io-http/src/request-tracer.ts
+++ b/packages/io-http/src/request-tracer.ts
@@ -4,7 +4,7 @@
  */
 import {type ResponseCut} from './response-order.js';
 
-export type HopName = 'admit' | 'queue' | 'attempt' | 'turn';
+export type HopName = 'admit' | 'queue' | 'attempt' | 'check' | 'turn';
 
 export type HopSpan = {
 	/** Value of `traceparent` for the target; undefined if the request is not traced. */
--- a/packages/observability/src/event-log.ts
+++ b/packages/observability/src/event-log.ts
@@ -36,6 +36,7 @@
 	| 'request'
 	| 'request-refused'
 	| 'request-broke-connection'
+	| 'crashing-request-tried'
 	| 'memory-low'
 	| 'memory-regained'
 	| 'internal-error'
--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -45,6 +45,8 @@
 	readonly onCrashes: (crashes: readonly TargetCrash[], now: number) => void;
 	/** Called with the fingerprints of requests that are no longer suspected. */
 	readonly onClearedRequests: (fingerprints: readonly string[], now: number) => void;
+	/** Called with the fingerprints of requests that another member refuses. */
+	readonly onRefusedRequests?: (fingerprints: readonly string[], now: number) => void;
 	/** The requests that crash targets, for members that start later. */
 	readonly suspects: SuspectLearningOptions['suspects'];
 	/** Called with the requests that another member remembers. */
@@ -149,6 +151,7 @@
 		handleTotals(report.from, report.workspaces, now);
 		options.onCrashes(report.crashes, now);
 		options.onClearedRequests(report.clearedRequests, now);
+		options.onRefusedRequests?.(report.refusedRequests ?? [], now);
 		options.onLeavingTargets(report.leavingTargets, now);
 	}
 
--- a/packages/policy-fleet/src/fleet-message.ts
+++ b/packages/policy-fleet/src/fleet-message.ts
@@ -65,7 +65,7 @@
 	readonly confirmedAgo: number | undefined;
 };
 
-/** A request that may have crashed its target: the connection broke while the target ran it. */
+/** A request that may have crashed its target: the target crashed while it ran the request. */
 export type TargetCrash = {
 	/** Digest of the request, the same for each of its copies. */
 	readonly fingerprint: string;
@@ -101,6 +101,11 @@
 	 * sender in the last few seconds, also those of earlier reports.
 	 */
 	readonly clearedRequests: readonly string[];
+	/**
+	 * Fingerprints of requests that the sender refused in the last few seconds because targets crashed
+	 * at them; a receiver that has one of them run reports it as cleared. Default: none.
+	 */
+	readonly refusedRequests?: readonly string[];
 };
 
 /** A request that broke connections at several targets, as the sender remembers it. */
--- a/packages/policy-fleet/src/fleet-roster.ts
+++ b/packages/policy-fleet/src/fleet-roster.ts
@@ -42,6 +42,11 @@
 	 * Linear in the members.
 	 */
 	position(): number;
+	/**
+	 * Whether this instance has the given turn, if all known members take turns in the order of their
+	 * addresses. Linear in the members.
+	 */
+	hasTurn(turn: number): boolean;
 	/**
 	 * Fraction of the known members, including this instance, from which a message arrived within
 	 * `reachableTimeout`; 0 to 1.
@@ -141,6 +146,16 @@
 		return count;
 	}
 
+	/** Number of known members whose address sorts before that of this instance. */
+	function rank(): number {
+		let before = 0;
+		for (const address of entries.keys()) {
+			before += Number(address < self.address);
+		}
+
+		return before;
+	}
+
 	return {
 		recordMessageFrom(member, now) {
 			const isDelayed = isSuperseded(member, now) || isDelayedAfterStop(member, now);
@@ -199,14 +214,8 @@
 		get peakSize() {
 			return peakSize;
 		},
-		position() {
-			let before = 0;
-			for (const address of entries.keys()) {
-				before += Number(address < self.address);
-			}
-
-			return before / (entries.size + 1);
-		},
+		position: () => rank() / (entries.size + 1),
+		hasTurn: turn => turn % (entries.size + 1) === rank(),
 		reachableRatio: now => countActive(now, reachableTimeout) / (entries.size + 1),
 		removeSilent(now) {
 			for (const [address, entry] of entries) {
--- a/packages/policy-fleet/src/report-schedule.ts
+++ b/packages/policy-fleet/src/report-schedule.ts
@@ -42,6 +42,8 @@
 	readonly leavingTargets: readonly string[];
 	/** Requests cleared in the last few seconds; each report repeats them. */
 	readonly clearedRequests: readonly string[];
+	/** Requests refused in the last few seconds; each report repeats them. Default: none. */
+	readonly refusedRequests?: readonly string[];
 };
 
 export type ReportScheduleOptions = {
@@ -188,6 +190,7 @@
 			workspaces,
 			crashes: content.crashes,
 			clearedRequests: content.clearedRequests,
+			refusedRequests: content.refusedRequests ?? [],
 			isLeaving: content.isLeaving,
 			leavingTargets: content.leavingTargets,
 		};
--- a/packages/policy-routing/src/__tests__/crash-history.test.ts
+++ b/packages/policy-routing/src/__tests__/crash-history.test.ts
@@ -90,7 +90,7 @@
 		history.record({fingerprint: 'coincidence', target: 't-1'}, 0);
 		const told = history.suspects(100_000);
 		expect(told).toEqual([
-			{fingerprint: 'bad', targets: ['t-1', 't-2', 't-3'], expiresIn: 500_000},
+			{fingerprint: 'bad', targets: ['t-1', 't-2', 't-3', 't-4'], expiresIn: 500_000},
 		]);
 		const late = createCrashHistory();
 		late.mergeSuspects(told, 50);
@@ -136,4 +136,56 @@
 
 		expect(second!.recentlyCleared(6000)).toEqual([]);
 	});
+
+	test('a refused request that would run is tried again, and its response ends the refusal everywhere', () => {
+		const {instances, report} = createFleet(3);
+		for (const target of ['t-1', 't-2', 't-3']) {
+			instances[0]!.record({fingerprint: 'popular', target}, 0);
+		}
+
+		report(0);
+		expect(instances.every(instance => instance.isRefused('popular', 19_999))).toBe(true);
+		expect(instances[1]!.takeTrial('popular', 19_999)).toBe(false);
+		expect(instances[1]!.takeTrial('popular', 20_000)).toBe(true);
+		expect(instances[1]!.takeTrial('popular', 20_001)).toBe(false);
+		instances[1]!.clear('popular', 20_100);
+		for (const instance of instances) {
+			instance.mergeCleared(instances[1]!.recentlyCleared(20_200));
+			expect(instance.isRefused('popular', 20_300)).toBe(false);
+		}
+	});
+
+	test('a request that crashes every target is tried three more times at most', () => {
+		const {instances, report} = createFleet(4);
+		let runs = 0;
+		for (let now = 0; now < 600_000; now += 200) {
+			const instance = instances[(now / 200) % instances.length]!;
+			// One instance has the turn for four seconds.
+			const hasTurn = instances[Math.floor(now / 4000) % instances.length] === instance;
+			if (!instance.isRefused('bad', now) || (hasTurn && instance.takeTrial('bad', now))) {
+				runs++;
+				instance.record({fingerprint: 'bad', target: `t-${runs}`}, now);
+			}
+
+			report(now);
+		}
+
+		expect(runs).toBe(6);
+	});
+
+	test('an instance that refuses what another one runs hears of it, although that one suspects nothing', () => {
+		const [refusing, running] = [createCrashHistory(), createCrashHistory()];
+		for (const target of ['t-1', 't-2', 't-3']) {
+			refusing.record({fingerprint: 'popular', target}, 0);
+		}
+
+		refusing.recordRefusal('popular', 5000);
+		running.mergeRefused(refusing.recentlyRefused(5100), 5100);
+		expect(running.hasSuspects).toBe(true);
+		running.clear('popular', 5200);
+		refusing.mergeCleared(running.recentlyCleared(5300));
+		expect(refusing.isRefused('popular', 5300)).toBe(false);
+		expect(refusing.recent(5300)).toEqual([]);
+		expect(refusing.recentlyRefused(5300)).toEqual([]);
+	});
 });
--- a/packages/shallotpond/src/request-tracer.ts
+++ b/packages/shallotpond/src/request-tracer.ts
@@ -16,6 +16,7 @@
 	admit: 'internal',
 	queue: 'internal',
 	attempt: 'client',
+	check: 'client',
 	turn: 'internal',
 } as const;
 
--- a/packages/testkit/src/stand-in-target.ts
+++ b/packages/testkit/src/stand-in-target.ts
@@ -20,14 +20,24 @@
 	  }
 	/** Reads the request and never responds. */
 	| {readonly kind: 'stall'}
-	/** Destroys the connection after the request has arrived. */
+	/** Ends like a process: destroys all connections and refuses new ones until `start`. */
 	| {readonly kind: 'crash'}
+	/** Destroys the connection after the request has arrived, and runs on. */
+	| {readonly kind: 'reset'}
 	/** Sheds load: responds 503 without running the request. */
 	| {readonly kind: 'shed'}
 	/** Responds 200 with an empty body. */
 	| {readonly kind: 'blank'}
-	/** Writes `bytes` to the connection as Latin-1 text, and then closes it if `ends` is true. */
-	| {readonly kind: 'raw'; readonly bytes: string; readonly ends?: boolean}
+	/**
+	 * Writes `bytes` to the connection as Latin-1 text, and then closes it if `ends` is true. With
+	 * `crashes`, the target ends, too, and refuses new connections until `start`.
+	 */
+	| {
+			readonly kind: 'raw';
+			readonly bytes: string;
+			readonly ends?: boolean;
+			readonly crashes?: boolean;
+	  }
 	/** Writes `head` and then repeats `piece` until the connection closes. */
 	| {readonly kind: 'endless'; readonly head: string; readonly piece: string}
 	/** Echoes the request once `releaseWaitingRequests` is called. */
@@ -81,10 +91,15 @@
 	queueBehaviours(...behaviours: StandInTargetBehaviour[]): void;
 	/** Stops reading the bodies of further requests. */
 	pauseReading(): void;
+	/** Ends like a process; see the behaviour `crash`. */
+	crash(): void;
+	/** Closes each further connection as soon as it is accepted. */
+	refuseConnections(): void;
 	/** Sends the responses of all requests that wait because of the behaviour `wait`. */
 	releaseWaitingRequests(): void;
 	/** Returns all data received as one text, in which a test can search for a secret. */
 	receivedText(): string;
+	/** Starts to listen; after a crash, on the same port as before. */
 	start(): Promise<void>;
 	stop(): Promise<void>;
 };
@@ -165,6 +180,7 @@
 	let connections = 0;
 	let address = '';
 	let isReading = true;
+	let isRefusing = false;
 
 	function echo(request: ReceivedTargetRequest, response: ServerResponse): void {
 		const {method, url, rawHeaders, rawTrailers, body} = request;
@@ -194,7 +210,10 @@
 		stall() {
 			// Sends no response.
 		},
-		crash(_behaviour, {request}) {
+		crash() {
+			crash();
+		},
+		reset(_behaviour, {request}) {
 			request.socket.destroy();
 		},
 		shed(_behaviour, {response}) {
@@ -205,11 +224,15 @@
 			response.writeHead(200, {'content-length': '0'});
 			response.end();
 		},
-		raw({bytes, ends}, {request}) {
+		raw({bytes, ends, crashes}, {request}) {
 			request.socket.write(bytes, 'latin1');
 			if (ends === true) {
 				request.socket.end();
 			}
+
+			if (crashes === true) {
+				server.close();
+			}
 		},
 		endless({head, piece}, {request: {socket}}) {
 			socket.write(head, 'latin1');
@@ -236,6 +259,13 @@
 		},
 	};
 
+	function crash(): void {
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	}
+
 	function runBehaviour(behaviour: StandInTargetBehaviour, exchange: Exchange): void {
 		(handlers[behaviour.kind] as (behaviour: StandInTargetBehaviour, exchange: Exchange) => void)(
 			behaviour,
@@ -287,6 +317,9 @@
 		socket.once('close', () => {
 			sockets.delete(socket);
 		});
+		if (isRefusing) {
+			socket.destroy();
+		}
 	});
 
 	return {
@@ -309,6 +342,10 @@
 		pauseReading() {
 			isReading = false;
 		},
+		crash,
+		refuseConnections() {
+			isRefusing = true;
+		},
 		releaseWaitingRequests() {
 			for (const callback of waitingResponses.splice(0)) {
 				callback();
@@ -323,8 +360,9 @@
 				)
 				.join('\n'),
 		async start() {
+			const port = address === '' ? 0 : Number(address.split(':')[1]);
 			await new Promise<void>(resolve => {
-				server.listen(0, '127.0.0.1', resolve);
+				server.listen(port, '127.0.0.1', resolve);
 			});
 			address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
 		},
