Keep the connection for responses behind one without a length

Cause: a short body without a length was passed on without one, so its end was the end of the caller's connection. Nothing that forces this end asked for the requests behind it.

Change: such a body gets a length if there are later responses. The same cause elsewhere: a chunked response is held back before others, up to `maxHeldResponseBytes`, so that an early cut can be replaced (not a stream of events); no request is parsed behind a response that has begun and may still be cut; bytes that are no request close the connection behind the responses in progress.

"a malformed request behind one in progress ..." expected that nothing arrives, because the connection was closed at once; it now expects exactly the response to the first request, which is as strict on what it guards against. A test of spans sends its requests ahead before the first response begins, as none is parsed behind it any more.

--- a/packages/io-http/src/__tests__/hedged-requests.test.ts
+++ b/packages/io-http/src/__tests__/hedged-requests.test.ts
@@ -136,6 +136,7 @@
 			const response = send(fixture);
 			await waitUntil(() => outcomesOf('t1').length === 1);
 			expect(outcomesOf('t1')).toMatchObject([{result}]);
+			await waitUntil(() => result !== 'connection-broken' || fixture.state.crashes.length === 1);
 			fixture.targets[0]!.releaseWaitingRequests();
 			expect(await response).toMatchObject({status: 200});
 			expect(fixture.ends).toEqual(['failed']);
--- a/packages/io-http/src/__tests__/hostile-input.test.ts
+++ b/packages/io-http/src/__tests__/hostile-input.test.ts
@@ -276,7 +276,12 @@
 	localFixture.target.setBehaviour({kind: 'wait'});
 	const valid = `GET / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\n\r\n`;
 	const response = sendRaw(localFixture, `${valid}GET / HTTP/1.1\nHost: a\n\n`);
-	expect(await response).toBe('');
+	await waitUntil(() => localFixture.received().length === 1);
+	localFixture.target.releaseWaitingRequests();
+	const text = await response;
+	const [head, ...others] = text.split('HTTP/1.1 ').slice(1);
+	expect(head).toMatch(/^200 OK\r\n[^]*"method":"GET","url":"\/"/);
+	expect(others).toEqual([]);
 	await localFixture.stop();
 });
 
--- a/packages/io-http/src/__tests__/pipelined-requests.test.ts
+++ b/packages/io-http/src/__tests__/pipelined-requests.test.ts
@@ -6,6 +6,7 @@
 import {afterEach, expect, test} from '@jest/globals';
 import {type StandInTargetBehaviour} from '@shallotpond/testkit/stand-in-target';
 import {defaultHttpLimits} from '../http-limits.js';
+import {defaultDialect} from '../request-dialect.js';
 import {type ResponseCut} from '../response-order.js';
 import {
 	connectCaller,
@@ -258,8 +259,9 @@
 	await start({hasManualClock: false, listener: {tracer: {startRequest}}});
 	const caller = await sendAhead([{kind: 'stall'}, {kind: 'stall'}], {
 		kind: 'raw',
-		bytes: `HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n${body(20_000)}`,
+		bytes: 'HTTP/1.1 200 OK\r\nContent-Length: 50000\r\n\r\n',
 	});
+	fixture.received()[0]!.socket.write(body(20_000));
 	await waitUntil(() => caller.text.length > 20_000);
 	close(caller);
 	await waitUntil(() => ends.length === 3);
@@ -391,3 +393,95 @@
 	expect(statusesOf(caller.text)).toEqual([200, 200, 400]);
 	expect(fixture.received()).toHaveLength(2);
 });
+
+const unframed = {requestIdHeader: undefined, acceptsUnframed: true};
+/** Responds without a length and ends the connection. */
+const endsWithConnection: StandInTargetBehaviour = {
+	kind: 'raw',
+	bytes: 'HTTP/1.1 200 OK\r\n\r\nwhole',
+	ends: true,
+};
+
+// Only the end of the connection ended the first response, so those behind it were lost.
+test('a response without a length leaves the connection open for those behind it', async () => {
+	await start({listener: {dialect: {...defaultDialect, ...unframed}}});
+	const caller = connectCaller(fixture);
+	fixture.target.queueBehaviours(waiting, endsWithConnection, waiting);
+	caller.write(requestFor('first') + requestFor('queued', 1) + requestFor('queued', 2));
+	await waitUntil(() => fixture.received().length === 3);
+	fixture.target.releaseWaitingRequests();
+	expect(await readAll(caller, 3)).toEqual([200, 200, 200]);
+	const [, second] = caller.text.toLowerCase().split('http/1.1 200 ok').slice(1);
+	expect(second).toMatch(/content-length: 5\r\n[^]*\r\n\r\nwhole$/);
+	expect(caller.isClosed).toBe(false);
+	caller.socket.destroy();
+});
+
+test('a response without a length and with none behind it ends with its connection', async () => {
+	await start({listener: {dialect: {...defaultDialect, ...unframed}}});
+	const caller = connectCaller(fixture);
+	fixture.target.queueBehaviours(endsWithConnection);
+	caller.write(requestFor('first'));
+	await waitUntil(() => caller.isClosed);
+	expect(caller.text.toLowerCase()).not.toContain('content-length');
+	expect(caller.text.endsWith('whole')).toBe(true);
+});
+
+// The first chunk began the response, and its cut closed the connection with the one behind.
+test('a chunked response that is cut early is replaced while others are behind it', async () => {
+	await start();
+	const bytes = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+	const caller = await sendAhead([{kind: 'echo'}], {kind: 'raw', bytes});
+	fixture.received()[0]!.socket.end('3\r\nabc\r\n');
+	expect(await readAll(caller, 2)).toEqual([502, 200]);
+	expect(caller.isClosed).toBe(false);
+	caller.socket.destroy();
+});
+
+test('no request is passed on behind a response that has begun and may still be cut', async () => {
+	await start();
+	const head = 'HTTP/1.1 200 OK\r\nContent-Length: 50000\r\nConnection: close\r\n\r\n';
+	fixture.target.queueBehaviours({kind: 'raw', bytes: head + body(20_000)});
+	const caller = connectCaller(fixture);
+	caller.write(requestFor('first'));
+	await waitUntil(() => caller.text.length > 20_000);
+	caller.write(requestFor('queued'));
+	await new Promise(resolve => {
+		setTimeout(resolve, 50);
+	});
+	expect(fixture.received()).toHaveLength(1);
+	fixture.received()[0]!.socket.end(body(30_000));
+	expect(await readAll(caller, 2)).toEqual([200, 200]);
+	caller.socket.destroy();
+});
+
+test('events reach the caller at once, also while others wait behind them', async () => {
+	await start();
+	const caller = await sendAhead([{kind: 'echo'}], {
+		kind: 'raw',
+		bytes:
+			'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n' +
+			'Transfer-Encoding: chunked\r\n\r\n',
+	});
+	fixture.received()[0]!.socket.write('9\r\ndata: a\n\n\r\n');
+	await waitUntil(() => caller.text.includes('data: a'));
+	fixture.received()[0]!.socket.write('0\r\n\r\n');
+	expect(await readAll(caller, 2)).toEqual([200, 200]);
+	caller.socket.destroy();
+});
+
+// The parser's error closed the connection at once, and the responses in progress were lost.
+test('bytes that are no request close the connection behind the responses in progress', async () => {
+	await start();
+	const caller = await sendAhead([waiting]);
+	caller.write('no request\r\n\r\n');
+	await new Promise(resolve => {
+		setTimeout(resolve, 50);
+	});
+	expect(caller.isClosed).toBe(false);
+	fixture.target.releaseWaitingRequests();
+	await waitUntil(() => caller.isClosed);
+	expect(statusesOf(caller.text)).toEqual([200, 200]);
+	const heads = caller.text.toLowerCase().split('http/1.1 200').slice(1);
+	expect(heads.map(text => text.includes('connection: close'))).toEqual([false, true]);
+});
--- a/packages/io-http/src/caller-connection.ts
+++ b/packages/io-http/src/caller-connection.ts
@@ -25,6 +25,11 @@
 	 * rest of the body is read only if it is wanted.
 	 */
 	setClosing(options: {readonly isBodyWanted: boolean}): void;
+	/**
+	 * Notes whether a part of the response was written while the rest may still be cut. No further
+	 * request is parsed then, because it would be lost with the connection.
+	 */
+	setPartial(isPartial: boolean): void;
 };
 
 export type CallerConnection = {
@@ -41,6 +46,11 @@
 	isClosing: boolean;
 	/** To be called for each request that the parser delivers. */
 	begin(request: IncomingMessage, response: ServerResponse): OpenRequest;
+	/**
+	 * Reads nothing more and closes the connection behind the responses to the requests in progress.
+	 * Returns false if one of these requests has not arrived whole.
+	 */
+	closeBehindLatest(): boolean;
 	/** Whether a target works on one of the requests. */
 	readonly isBusy: boolean;
 	/**
@@ -96,7 +106,10 @@
 	const order = createResponseOrder();
 	const {responses} = order;
 	const forwarded = new Set<ServerResponse>();
+	/** Responses of which a part was written, while the rest may still be cut. */
+	const partial = new Set<ServerResponse>();
 	let latestRequest: IncomingMessage | undefined;
+	let latestResponse: ServerResponse | undefined;
 	let servedBytes: number | undefined;
 	let unreadBytes = 0;
 	let heldBackBytes = 0;
@@ -133,7 +146,8 @@
 
 	function mayParse(): boolean {
 		// The last response on the connection of a leaving instance closes it.
-		const maxRequests = account.isLow || options.isLeaving() ? 1 : maxPipelinedRequests;
+		const takesOthers = !account.isLow && !options.isLeaving() && partial.size === 0;
+		const maxRequests = takesOthers ? maxPipelinedRequests : 1;
 		const isWithinBody = latestRequest?.complete === false;
 		// The body of the latest request may arrive although no further request is parsed.
 		const hasRoom = isWithinBody || responses.size < maxRequests;
@@ -203,10 +217,12 @@
 		begin(request, response) {
 			let heldBytes = requestCost;
 			latestRequest = request;
+			latestResponse = response;
 			const turn = order.add(response);
 			request.on('resume', gate.update);
 			turn.onEnd(() => {
 				forwarded.delete(response);
+				partial.delete(response);
 				holder.change(-heldBytes);
 				countUnread();
 				servedBytes = socket.bytesRead - heldBackBytes;
@@ -233,8 +249,28 @@
 						isClosing = true;
 					}
 				},
+				setPartial(isPartial) {
+					if (isPartial && !turn.hasEnded) {
+						partial.add(response);
+					} else if (partial.delete(response)) {
+						gate.update();
+					}
+				},
 			};
 		},
+		closeBehindLatest() {
+			if (latestRequest?.complete !== true || latestResponse === undefined) {
+				return false;
+			}
+
+			isClosing = true;
+			latestResponse.shouldKeepAlive = false;
+			latestResponse.once('close', () => {
+				// Node does it for a response whose head was not written before.
+				socket.destroySoon();
+			});
+			return true;
+		},
 		get isBusy() {
 			return isBusy();
 		},
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -351,6 +351,7 @@
 				onClosing() {
 					openRequest.setClosing({isBodyWanted: true});
 				},
+				onPartialChange: openRequest.setPartial,
 			};
 			finish(exchange, await handler.handleRequest(received));
 		} catch (error) {
@@ -440,8 +441,13 @@
 			return;
 		}
 
-		const requests = connection?.requests.size ?? 0;
-		if (error.code === 'ECONNRESET' || !socket.writable || requests > 0) {
+		const isBroken = error.code === 'ECONNRESET' || !socket.writable;
+		const isInUse = connection !== undefined && connection.requests.size > 0;
+		if (!isBroken && isInUse && connection.closeBehindLatest()) {
+			return;
+		}
+
+		if (isBroken || isInUse) {
 			// A response now could be taken for the response to a request in progress.
 			closeConnection(socket, error.code ?? 'broken');
 			return;
--- a/packages/io-http/src/forwarder.ts
+++ b/packages/io-http/src/forwarder.ts
@@ -16,6 +16,7 @@
 } from '@shallotpond/configuration/document-schema';
 import {checkHeaderSyntax} from '@shallotpond/kernel/header-syntax';
 import {
+	isEventStream,
 	isResponseToRequest,
 	contentLengthOf,
 	endsWithConnection,
@@ -116,6 +117,11 @@
 	readonly onQueuedChange: (bytes: number) => void;
 	/** Called when the connection is to close behind the response. */
 	readonly onClosing: () => void;
+	/**
+	 * Called when a part of the response is written, while the rest may still be cut and the
+	 * connection with it, and when the rest has arrived.
+	 */
+	readonly onPartialChange: (isPartial: boolean) => void;
 };
 
 export type ForwardResult =
@@ -562,8 +568,9 @@
 			targetResponse,
 			response,
 			turn: request.turn,
-			begin(framing) {
+			begin(framing, isPartial) {
 				if (!progress.hasResponseBegun) {
+					request.onPartialChange(isPartial);
 					beginResponse(request, targetResponse, framing);
 					progress.hasResponseBegun = true;
 					progress.download = isIdempotent(request)
@@ -572,6 +579,10 @@
 				}
 			},
 			holdBytes: progress.hasResponseBegun ? 0 : holdBytes,
+			holdBytesBeforeOthers:
+				progress.hasResponseBegun || isEventStream(targetResponse)
+					? holdBytes
+					: Math.max(holdBytes, limits.maxHeldResponseBytes),
 			holdBudget,
 			queueBudget,
 			maxAheadBytes: maxAheadBytes > maxQueuedBytes ? 0 : maxAheadBytes,
@@ -609,6 +620,7 @@
 		const {leg, times, attempt, span, basis} = accepted;
 		const {targetResponse} = attempt;
 		const end = await pump(request, progress, accepted, () => {
+			request.onPartialChange(false);
 			release(leg, times, targetResponse.statusCode! >= minServerErrorStatus ? 'error' : 'ok');
 			span.end('delivered', basis);
 		});
--- a/packages/io-http/src/request-handler.ts
+++ b/packages/io-http/src/request-handler.ts
@@ -64,6 +64,8 @@
 	readonly onForward: () => void;
 	/** Called when the connection is to close behind the response. */
 	readonly onClosing: () => void;
+	/** As in `ForwardedRequest`. */
+	readonly onPartialChange: (isPartial: boolean) => void;
 };
 
 export type RequestHandler = {
@@ -369,6 +371,7 @@
 				turn: received.turn,
 				onQueuedChange: received.onHeld,
 				onClosing: received.onClosing,
+				onPartialChange: received.onPartialChange,
 			});
 			return result;
 		} finally {
--- a/packages/io-http/src/response-checks.ts
+++ b/packages/io-http/src/response-checks.ts
@@ -167,3 +167,8 @@
 		(length === undefined || length === total - first);
 	return isRemainder ? total - first : undefined;
 }
+
+/** Whether the response is a stream of events, each of which is due at its caller at once. */
+export function isEventStream({headers}: IncomingMessage): boolean {
+	return /^text\/event-stream(?:;|$)/i.test(headers['content-type'] ?? '');
+}
--- a/packages/io-http/src/response-pump.ts
+++ b/packages/io-http/src/response-pump.ts
@@ -62,11 +62,13 @@
 	readonly clock: Clock;
 	readonly targetResponse: IncomingMessage;
 	readonly response: ServerResponse;
-	readonly turn: Pick<ResponseTurn, 'hasBegun' | 'onBegin' | 'onEnd'>;
-	/** Called before the first byte is forwarded. */
-	readonly begin: (framing: CallerFraming) => void;
+	readonly turn: Pick<ResponseTurn, 'hasBegun' | 'isLast' | 'onBegin' | 'onEnd'>;
+	/** Called before the first byte is forwarded, with whether the rest has yet to arrive. */
+	readonly begin: (framing: CallerFraming, isPartial: boolean) => void;
 	/** Bytes of the body to wait for before anything is forwarded; 0 if the response has begun. */
 	readonly holdBytes: number;
+	/** The same while there are later responses on the connection, which a cut would take along. */
+	readonly holdBytesBeforeOthers: number;
 	/**
 	 * Shared by all responses. If it is used up, the response is forwarded before `holdBytes` have
 	 * arrived.
@@ -241,7 +243,7 @@
 		function begin(framing: CallerFraming): void {
 			hasBegun = true;
 			try {
-				options.begin(framing);
+				options.begin(framing, !isReceived);
 			} catch {
 				// Node refuses to write some heads that its parser accepts, such as status code 099.
 				finish('cut');
@@ -276,8 +278,9 @@
 		/** Begins to forward the response if enough of it has arrived. */
 		function tryBegin(): void {
 			// A body below the minimum is held in any case, because it must not be forwarded.
+			const holdBytes = turn.isLast ? options.holdBytes : options.holdBytesBeforeOthers;
 			const isEnough =
-				heldBytes >= options.holdBytes || (isHoldBudgetUsedUp && heldBytes >= options.minBodyBytes);
+				heldBytes >= holdBytes || (isHoldBudgetUsedUp && heldBytes >= options.minBodyBytes);
 			if (turn.hasBegun && heldBytes > 0 && isEnough) {
 				begin('default');
 			}
@@ -330,13 +333,15 @@
 		 * Framing for a body that has been held until its end. Without one, the connections of a killed
 		 * process end as after a whole body. A short body is in the hands of the operating system by
 		 * then, so it gets no framing, which would claim more than the end of the target's connection.
+		 * It gets one before other responses, which would be lost with the end of the connection.
 		 */
 		function framingOfHeldBody(isBodyCertain: boolean): CallerFraming {
 			if (unframed === undefined) {
 				return 'default';
 			}
 
-			return isBodyCertain || heldBytes > maxBytesOfOneWrite ? heldBytes : 'none';
+			const needsLength = isBodyCertain || heldBytes > maxBytesOfOneWrite || !turn.isLast;
+			return needsLength ? heldBytes : 'none';
 		}
 
 		function handleDrain(): void {
@@ -374,18 +379,18 @@
 			} else if (!hasBegun && heldBytes < options.minBodyBytes) {
 				finish('blank');
 			} else {
-				deliver(framingOfHeldBody(isBodyCertain));
+				deliver(isBodyCertain);
 			}
 		}
 
 		/** Forwards what is left of a whole response as soon as its turn has begun. */
-		function deliver(framing: CallerFraming): void {
+		function deliver(isBodyCertain: boolean): void {
 			isReceived = true;
 			leaveTarget();
 			options.onReceived();
 			turn.onBegin(() => {
 				if (!hasBegun && !isFinished) {
-					begin(framing);
+					begin(framingOfHeldBody(isBodyCertain));
 				}
 
 				// If `begin` failed, it has already called `finish`, and this call does nothing.
