Do not take an instance that knows nobody for the whole fleet

Seen: all instances are killed, and the seeds stay away for seconds.

Cause: a new instance was cautious for 2 and 3 s, and then divided the limits by the members it knew. One that has heard of nobody took itself for all of them.

Change: `fleet-knowledge` tells whether the fleet is known, by contact and not by time: none while the seeds name others and nobody was heard since the start, a part for 1.5 s after the first contact. Until it is known, the rates of workspaces, cold targets and the retry reserve are divided by the largest fleet that the targets allow, permits for cold targets keep random positions, and requests that crashed targets are not tried again. Without other seeds an instance is the whole fleet.

--- a/packages/gateway/src/__tests__/cold-targets.test.ts
+++ b/packages/gateway/src/__tests__/cold-targets.test.ts
@@ -137,6 +137,27 @@
 		},
 	);
 
+	// Each instance took itself for the whole fleet three seconds after its start.
+	test.each(seeds)(
+		'are not flooded by instances that have heard of nobody since their start (seed %i)',
+		seed => {
+			const targets = createTargets({
+				count: 20,
+				create: () => ({listedAt: 6000, coldFor: 6000}),
+			});
+			const contactAt = 9500;
+			const {attempts} = simulate({
+				targets,
+				seed,
+				rate: 1000,
+				isCut: (_from, _to, now) => now < contactAt,
+				duration: 12_000,
+			});
+			expect(worstSecond(attempts, (_target, at) => at < 12_000)).toBeLessThanOrEqual(maxPerSecond);
+			expect(attempts.some(({at, result}) => at < contactAt && result === 'ok')).toBe(true);
+		},
+	);
+
 	test.each(seeds)('are not flooded by a fleet without contact (seed %i)', seed => {
 		const targets = createTargets({
 			count: 12,
--- a/packages/gateway/src/__tests__/crashing-requests.test.ts
+++ b/packages/gateway/src/__tests__/crashing-requests.test.ts
@@ -45,6 +45,7 @@
 		retryBudget: unused,
 		trafficSplit: createTrafficSplit(random),
 		roster,
+		fleetKnowledge: () => 'whole',
 		crashes,
 		hedging: undefined,
 		log: {write: event => void events.push(event)},
--- a/packages/gateway/src/__tests__/fleet-model.ts
+++ b/packages/gateway/src/__tests__/fleet-model.ts
@@ -9,9 +9,11 @@
 import {noopEventLog, type EventLog} from '@shallotpond/observability/event-log';
 import {createTargetDirectory} from '@shallotpond/policy-routing/target-directory';
 import {createTargetEvidence} from '@shallotpond/policy-routing/target-evidence';
+import {createFleetKnowledge} from '@shallotpond/policy-fleet/fleet-knowledge';
 import {createFleetMember, type FleetMember} from '@shallotpond/policy-fleet/fleet-member';
 import {type FleetMessage} from '@shallotpond/policy-fleet/fleet-message';
 import {createManualClock} from '@shallotpond/testkit/manual-clock';
+import {createFleetSizeBound} from '../fleet-size-bound.js';
 import {createRoutingService, type RoutingService} from '../routing-service.js';
 import {createFixedConfiguration} from './fixed-configuration.js';
 
@@ -131,6 +133,7 @@
 	const lastAttemptAt = new Map<string, number>();
 
 	function createInstance(address: string, failureDomain: string): ModelInstance {
+		const seeds = () => ['north-0'];
 		const directory = createTargetDirectory();
 		const routing = createRoutingService({
 			clock,
@@ -141,8 +144,9 @@
 			directory,
 			evidence: createTargetEvidence(),
 			coldBound: {excess: 1.5, slack: 5},
-			fleetSize: () => member.roster.peakSize,
-			fleetPosition: () => member.roster.position(),
+			fleetSize: () => fleetSizeBound(),
+			fleetPosition: () =>
+				fleetKnowledge(clock.monotonic()) === 'none' ? undefined : member.roster.position(),
 			onFailure() {
 				member.markUrgent();
 			},
@@ -152,7 +156,7 @@
 		});
 		const member = createFleetMember({
 			self: {address, failureDomain, startedAt: 0},
-			seeds: () => ['north-0'],
+			seeds,
 			random,
 			takeContent: () => ({
 				targets: routing.takeTargetReports(),
@@ -174,6 +178,12 @@
 			onLeavingTargets: () => undefined,
 			onConfiguration: () => undefined,
 		});
+		const fleetKnowledge = createFleetKnowledge({self: address, seeds, roster: member.roster});
+		const fleetSizeBound = createFleetSizeBound({
+			roster: member.roster,
+			fleetKnowledge: () => fleetKnowledge(clock.monotonic()),
+			directory,
+		});
 		return {
 			address,
 			routing,
--- a/packages/gateway/src/gateway-request-policy.ts
+++ b/packages/gateway/src/gateway-request-policy.ts
@@ -9,6 +9,7 @@
 import {type EventLog} from '@shallotpond/observability/event-log';
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {type RequestPolicy} from '@shallotpond/io-http/request-policy';
+import {type FleetKnowledge} from '@shallotpond/policy-fleet/fleet-knowledge';
 import {type FleetRoster} from '@shallotpond/policy-fleet/fleet-roster';
 import {type CrashHistory} from '@shallotpond/policy-routing/crash-history';
 import {rankOf} from '@shallotpond/policy-routing/rank-admission';
@@ -33,6 +34,8 @@
 	readonly retryBudget: LocalRetryBudget;
 	readonly trafficSplit: TrafficSplit;
 	readonly roster: FleetRoster;
+	/** As returned by `createFleetKnowledge`. */
+	readonly fleetKnowledge: (now: number) => FleetKnowledge;
 	readonly crashes: CrashHistory;
 	/** Undefined if no request is hedged. */
 	readonly hedging: HedgingService | undefined;
@@ -119,7 +122,11 @@
 	 */
 	function hasTrialTurn(): boolean {
 		const time = clock.wall().getTime();
-		return time % trialTurnMs < trialStartMs && roster.hasTurn(Math.floor(time / trialTurnMs));
+		return (
+			options.fleetKnowledge(clock.monotonic()) === 'whole' &&
+			time % trialTurnMs < trialStartMs &&
+			roster.hasTurn(Math.floor(time / trialTurnMs))
+		);
 	}
 
 	function isRefusedAsCrashing(fingerprint: string): boolean {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,6 +15,7 @@
 import {type Metrics} from '@shallotpond/observability/metrics';
 import {type Member} from '@shallotpond/policy-fleet/fleet-message';
 import {type ColdBound} from '@shallotpond/policy-routing/cold-target-permits';
+import {createFleetKnowledge} from '@shallotpond/policy-fleet/fleet-knowledge';
 import {createCrashHistory} from '@shallotpond/policy-routing/crash-history';
 import {createLocalRetryBudget} from '@shallotpond/policy-routing/local-retry-budget';
 import {createTrafficSplit} from '@shallotpond/policy-routing/traffic-split';
@@ -40,6 +41,7 @@
 	type StoreReader,
 } from './published-state-service.js';
 import {createHedgingService, type HedgingService} from './hedging-service.js';
+import {createFleetSizeBound, maxFleetSizeOf} from './fleet-size-bound.js';
 import {createRequestLog} from './request-log.js';
 import {createRoutingService, type RoutingService} from './routing-service.js';
 import {stopCallers} from './stop-callers.js';
@@ -158,8 +160,9 @@
 		directory,
 		evidence,
 		coldBound: options.coldBound,
-		fleetSize: () => fleet.roster.peakSize,
-		fleetPosition: () => fleet.roster.position(),
+		fleetSize: () => fleetSizeBound(),
+		fleetPosition: () =>
+			fleetKnowledge(clock.monotonic()) === 'none' ? undefined : fleet.roster.position(),
 		onFailure() {
 			fleet.markUrgent();
 		},
@@ -175,6 +178,8 @@
 		startedAt,
 		reachableRatio: () => fleet.roster.reachableRatio(clock.monotonic()),
 		fleetSize: () => fleet.roster.activeCount(clock.monotonic()),
+		fleetKnowledge: () => fleetKnowledge(clock.monotonic()),
+		maxFleetSize: () => maxFleetSizeOf(directory),
 		random,
 	});
 	const crashes = createCrashHistory();
@@ -182,7 +187,7 @@
 		ratio: options.retryBudget.ratio * retryRatioFraction,
 		reserve: options.retryBudget.reserve,
 		window: options.retryBudget.window,
-		fleetSize: () => Math.max(minAssumedInstances, fleet.roster.peakSize),
+		fleetSize: () => Math.max(minAssumedInstances, fleetSizeBound()),
 		startedAt: options.isFirstStart ? Number.NEGATIVE_INFINITY : startedAt,
 	});
 	const hedging: HedgingService | undefined =
@@ -250,6 +255,17 @@
 		},
 	});
 
+	const fleetKnowledge = createFleetKnowledge({
+		self: options.self.address,
+		seeds: options.seeds,
+		roster: fleet.roster,
+	});
+	const fleetSizeBound = createFleetSizeBound({
+		roster: fleet.roster,
+		fleetKnowledge: () => fleetKnowledge(clock.monotonic()),
+		directory,
+	});
+
 	function setCallerIdleTimeout(timeout: number): void {
 		callers.setIdleTimeout(timeout + idleReserveMs);
 	}
@@ -295,6 +311,7 @@
 		retryBudget,
 		trafficSplit: createTrafficSplit(random),
 		roster: fleet.roster,
+		fleetKnowledge,
 		crashes,
 		hedging,
 		log,
--- a/packages/gateway/src/routing-service.ts
+++ b/packages/gateway/src/routing-service.ts
@@ -54,6 +54,7 @@
 import {createEstimatedTargetLoads} from '@shallotpond/policy-routing/estimated-target-loads';
 import {createReportedTargetLoads} from '@shallotpond/policy-routing/reported-target-loads';
 import {type CurrentConfiguration} from './current-configuration.js';
+import {maxFleetSizeOf} from './fleet-size-bound.js';
 
 export type RoutingService = {
 	/** Returns a target for one attempt or a refusal; there is no queue. */
@@ -107,10 +108,16 @@
 	readonly directory: TargetDirectory;
 	readonly evidence: TargetEvidence;
 	readonly coldBound: ColdBound;
-	/** Number of instances that may be serving, including this one and those out of contact. */
+	/**
+	 * Number of instances that may be serving, including this one, those out of contact and, while the
+	 * fleet is not known, those that there may be.
+	 */
 	readonly fleetSize: () => number;
-	/** Position of this instance among all instances, as a fraction of their number, 0 to 1. */
-	readonly fleetPosition: () => number;
+	/**
+	 * Position of this instance among all instances, as a fraction of their number, 0 to 1; undefined
+	 * while they are not known.
+	 */
+	readonly fleetPosition: () => number | undefined;
 	/** Called for a failure that must be reported to the other instances at once. */
 	readonly onFailure: () => void;
 	/** Called when a request was sent to a target or has ended there. */
@@ -135,8 +142,6 @@
 const rateWindowMs = 5000;
 /** Milliseconds after the start in which a process may not know all members of the fleet. */
 const discoveryTimeMs = 3000;
-/** Assumed while not all members may be known; the smallest deployments have 1.2. */
-const maxInstancesPerTarget = 2;
 /** Milliseconds after the start in which too few members are known for a position among them. */
 const minPositionAgeMs = 1000;
 /** How long the connection of a served request is expected to stay open. */
@@ -251,13 +256,10 @@
 		return configuration.tables?.document.services[service]?.coldRate;
 	}
 
-	/**
-	 * Number of instances that may be serving. A new process may not know all members yet; a fleet
-	 * has fewer than twice as many instances as targets.
-	 */
+	/** Number of instances that may be serving. A new process may not know all members yet. */
 	function fleetSize(now: number): number {
 		const isNew = now - startedAt < discoveryTimeMs;
-		return Math.max(options.fleetSize(), isNew ? directory.size * maxInstancesPerTarget : 1);
+		return Math.max(options.fleetSize(), isNew ? maxFleetSizeOf(directory) : 1);
 	}
 
 	/**
--- a/packages/policy-fleet/src/fleet-roster.ts
+++ b/packages/policy-fleet/src/fleet-roster.ts
@@ -37,6 +37,11 @@
 	 * were removed may still be serving on the other side of a network partition.
 	 */
 	readonly peakSize: number;
+	/**
+	 * When the first message of another member arrived, monotonic milliseconds; undefined if none has
+	 * since the start of the process.
+	 */
+	readonly firstContactAt: number | undefined;
 	/**
 	 * Position of this instance among the known members by address, as a fraction of their number.
 	 * Linear in the members.
@@ -90,6 +95,7 @@
 	 */
 	const stopped = new Map<string, Entry>();
 	let peakSize = 1;
+	let firstContactAt: number | undefined;
 
 	/** Whether a message of the member was delayed: a later process at its address is known. */
 	function isSuperseded(member: Member, now: number): boolean {
@@ -160,6 +166,7 @@
 		recordMessageFrom(member, now) {
 			const isDelayed = isSuperseded(member, now) || isDelayedAfterStop(member, now);
 			if (member.address !== self.address && !isDelayed) {
+				firstContactAt ??= now;
 				addOrUpdate(member, now);
 			}
 		},
@@ -214,6 +221,9 @@
 		get peakSize() {
 			return peakSize;
 		},
+		get firstContactAt() {
+			return firstContactAt;
+		},
 		position: () => rank() / (entries.size + 1),
 		hasTurn: turn => turn % (entries.size + 1) === rank(),
 		reachableRatio: now => countActive(now, reachableTimeout) / (entries.size + 1),
--- a/packages/policy-routing/src/__tests__/fleet-limits.test.ts
+++ b/packages/policy-routing/src/__tests__/fleet-limits.test.ts
@@ -11,6 +11,7 @@
 import {createSeededRandom} from '@shallotpond/kernel/random';
 import {createLocalRetryBudget} from '../local-retry-budget.js';
 import {createTrafficSplit} from '../traffic-split.js';
+import {createWorkspaceRateLimiter} from '../workspace-rate-limiter.js';
 import {createSlidingWindowCounter} from '../sliding-window-counter.js';
 import {limitOf, maxAdmittedOf, rate, simulate, usualDelays, window} from './rate-limit-model.js';
 
@@ -48,6 +49,46 @@
 		}
 	});
 
+	// Each instance took itself for the whole fleet two seconds after its start.
+	test.each([
+		[9, 3500],
+		[36, 3500],
+		[36, 12_000],
+		[98, 12_000],
+	])(
+		'%i processes that restart during a flood and hear of nobody for %i ms stay below the bound',
+		(instances, seedsAwayFor) => {
+			for (const sent of [60, 185, 400]) {
+				const flood = {instances, sentBefore: 23, sent, ...usualDelays};
+				const {maxPerWindow, requests} = simulate({...flood, restartAt: 12_500, seedsAwayFor});
+				expect(maxPerWindow).toBeLessThanOrEqual(maxAdmittedOf(rate));
+				// Those that are alone still serve, and the fleet gets its whole rate after the contact.
+				const alone = requests.filter(({at}) => at > 13_000 && at < 12_500 + seedsAwayFor);
+				expect(alone.some(({isAdmitted}) => isAdmitted)).toBe(true);
+				const last = requests.filter(({at, isAdmitted}) => at >= 27_000 && isAdmitted);
+				expect(last.length).toBeGreaterThan(0.9 * Math.min(sent, rate.rate) * 3);
+			}
+		},
+	);
+
+	test('an instance that has no seeds gets its whole rate', () => {
+		const limiter = createWorkspaceRateLimiter({
+			bound: {window, excess: 0.25, slack: 20},
+			startedAt: 0,
+			reachableRatio: () => 1,
+			fleetSize: () => 1,
+			fleetKnowledge: () => 'whole',
+			maxFleetSize: () => 100,
+			random: createSeededRandom(13),
+		});
+		let admitted = 0;
+		for (let now = 3000; now < 13_000; now += 20) {
+			admitted += Number(limiter.admit('w', rate, now).isAdmitted);
+		}
+
+		expect(admitted).toBeGreaterThan(0.9 * rate.rate * 10);
+	});
+
 	test('a flooding workspace gets what its limit allows, evenly over time', () => {
 		for (const sent of [185, 400]) {
 			const {admittedFraction, minPerSecond} = simulate({
--- a/packages/policy-routing/src/__tests__/rate-limit-model.ts
+++ b/packages/policy-routing/src/__tests__/rate-limit-model.ts
@@ -52,6 +52,11 @@
 	readonly sentAfter?: number;
 	/** Seed of the random numbers; default: 3. */
 	readonly seed?: number;
+	/**
+	 * Milliseconds after `restartAt` for which new processes hear of nobody, because their seeds are
+	 * away; default: 0.
+	 */
+	readonly seedsAwayFor?: number;
 	/** Rate of the workspace; default: `rate`. */
 	readonly limit?: typeof rate;
 };
@@ -64,6 +69,8 @@
 const downtimeMs = 1000;
 /** Time until a new process knows the others and receives their reports. */
 const discoveryTimeMs = 800;
+/** Milliseconds after its first contact until an instance counts the fleet as known. */
+const settleTimeMs = 1500;
 /**
  * Milliseconds, as in a real fleet: reports arrive in their own failure domain with the next tick,
  * and in other domains after a quarter of a second and a relay.
@@ -95,6 +102,7 @@
 	const random = createSeededRandom(scenario.seed ?? 3);
 	const {partitionAt = Number.NEGATIVE_INFINITY, partitionedDomains = 2} = scenario;
 	const {restartAt = Number.POSITIVE_INFINITY} = scenario;
+	const {seedsAwayFor = 0} = scenario;
 	const {mixAt, limit = rate, floodEnd = Number.POSITIVE_INFINITY} = scenario;
 	let clockNow = 0;
 	const partitionOf = (index: number) =>
@@ -110,15 +118,30 @@
 		return index % domainCount < partitionedDomains ? separated : 1 - separated;
 	};
 
-	const createInstance = (startedAt: number, index: number) =>
-		createWorkspaceRateLimiter({
+	const contactTimeOf = (startedAt: number) =>
+		startedAt === restartAt ? startedAt + seedsAwayFor : startedAt;
+	const fleetKnowledgeOf = (contactAt: number) => {
+		if (clockNow < contactAt) {
+			return 'none';
+		}
+
+		return clockNow < contactAt + settleTimeMs ? 'partial' : 'whole';
+	};
+
+	const createInstance = (startedAt: number, index: number) => {
+		const contactAt = contactTimeOf(startedAt);
+		return createWorkspaceRateLimiter({
 			bound: rateBound,
 			startedAt,
-			reachableRatio: () => reachableRatioOf(index),
+			reachableRatio: () => (clockNow < contactAt ? 1 : reachableRatioOf(index)),
 			fleetSize: () =>
-				clockNow < startedAt + discoveryTimeMs ? 1 : scenario.instances * reachableRatioOf(index),
+				clockNow < contactAt + discoveryTimeMs ? 1 : scenario.instances * reachableRatioOf(index),
+			fleetKnowledge: () => fleetKnowledgeOf(contactAt),
+			maxFleetSize: () => scenario.instances * 2,
 			random,
 		});
+	};
+
 	const instances = Array.from({length: scenario.instances}, (_, index) =>
 		createInstance(-window, index),
 	);
@@ -139,8 +162,8 @@
 			const usage = {asked: 1, admitted: Number(isAdmitted)};
 			for (const [index, instance] of instances.entries()) {
 				const isNear = index % domainCount === from % domainCount;
-				const hasDiscoveredFleet =
-					!isRestarted(index) || now < restartAt || now >= restartAt + discoveryTimeMs;
+				const knownFrom = contactTimeOf(restartAt) + discoveryTimeMs;
+				const hasDiscoveredFleet = !isRestarted(index) || now < restartAt || now >= knownFrom;
 				const receivesReport =
 					hasDiscoveredFleet &&
 					isNear === (scope === 'near') &&
--- a/packages/policy-routing/src/workspace-rate-limiter.ts
+++ b/packages/policy-routing/src/workspace-rate-limiter.ts
@@ -74,6 +74,13 @@
 	readonly reachableRatio: () => number;
 	/** Number of instances whose reports are received, including this one. */
 	readonly fleetSize: () => number;
+	/**
+	 * Whether this instance knows the others, whose reports it receives then: none of them, the first
+	 * ones, or the whole fleet.
+	 */
+	readonly fleetKnowledge: () => 'none' | 'partial' | 'whole';
+	/** Number of instances that there may be while the whole fleet is not known. */
+	readonly maxFleetSize: () => number;
 	readonly random: Random;
 };
 
@@ -117,7 +124,7 @@
 /** Minimum number of instances by which the refill rate is divided during `discoveryTimeMs`. */
 const minAssumedInstances = 32;
 /**
- * Requests that a new instance may admit within `demandWindowMs`, however small its part of the
+ * Requests that a new instance in contact with others may admit within `demandWindowMs`, however small its part of the
  * refill rate is.
  */
 const minInitialAdmissions = 1;
@@ -143,6 +150,8 @@
 	admitted: number;
 	/** 0 to 1; drawn for the first saved admission. */
 	roundingOffset: number | undefined;
+	/** Bucket of the part of an instance that does not know the whole fleet. */
+	readonly ownPart: {tokens: number; refilledAt: number};
 };
 
 export function createWorkspaceRateLimiter(
@@ -166,6 +175,8 @@
 				saved: 0,
 				admitted: 0,
 				roundingOffset: undefined,
+				// Instances that started together must not all begin with an admission.
+				ownPart: {tokens: random(), refilledAt: startedAt},
 			};
 			usages.set(workspace, usage);
 		}
@@ -195,9 +206,29 @@
 		return Math.max(usage.asked.total(now), ownLowerBound * options.fleetSize()) / demandWindowMs;
 	}
 
-	/** Whether a new instance has used up its part of the refill rate. */
+	/**
+	 * Refills the part of an instance that knows nobody, or not everybody. Instances that do not hear
+	 * each other cannot know that another one left its part unused, so at most one admission is saved.
+	 */
+	function refillOwnPart({ownPart}: Usage, refillRate: number, now: number): void {
+		const rate = refillRate / Math.max(minAssumedInstances, options.maxFleetSize());
+		ownPart.tokens = Math.min(1, ownPart.tokens + (now - ownPart.refilledAt) * rate);
+		ownPart.refilledAt = now;
+	}
+
+	/**
+	 * Whether an instance that does not know the whole fleet has used up its part of the refill rate.
+	 * One in contact with others since its start may admit more in the beginning, because few start
+	 * at the same time or their reports arrive soon.
+	 */
 	function isInitialPartUsed(usage: Usage, refillRate: number, now: number): boolean {
-		if (now - startedAt >= discoveryTimeMs) {
+		const knowledge = options.fleetKnowledge();
+		const isNew = now - startedAt < discoveryTimeMs;
+		if (knowledge === 'none' || (knowledge === 'partial' && !isNew)) {
+			return usage.ownPart.tokens < 1;
+		}
+
+		if (!isNew) {
 			return false;
 		}
 
@@ -240,6 +271,7 @@
 		admit(workspace, rate, now, rank = leastUrgentRank) {
 			const usage = usageOf(workspace);
 			const refillRate = refill(usage, rate, now);
+			refillOwnPart(usage, refillRate, now);
 			const admissionRate = refillRate + usage.tokens / drainTimeMs;
 			rankAdmission.countRequest(workspace, rank, now);
 			let decision: RankDecision = {probability: 0, factor: 1, savedChange: 0};
@@ -253,6 +285,7 @@
 			}
 
 			usage.tokens -= Number(isAdmitted) + decision.savedChange;
+			usage.ownPart.tokens -= Number(isAdmitted);
 			usage.saved += decision.savedChange;
 			countOwnRequest(workspace, usage, Number(isAdmitted), now);
 			const {probability, factor} = decision;
