Bound responses in tiny chunks by their cost, not by their bytes

Seen: a target answers in chunks of one byte without end.

Cause: the direction from the targets was bounded in bytes of content. Node parses 64 KiB at once, also of a paused response, with an object for each chunk; the pump kept an object for each chunk it held back, and wrote each to the caller by itself; the time of parsing was shared with nobody.

Change: `target-reader` gates connections to targets as `read-gate` does those of callers: parts of about 1 ms, none while nobody reads, within the schedule of the callers. The pump collects what it holds and takes its cost from the budgets, and joins small chunks that are parsed together. Connections that have used up their parsing time get 3 ms in a turn instead of 10, because all others wait for them.

--- a/packages/io-http/src/__tests__/at-most-once.test.ts
+++ b/packages/io-http/src/__tests__/at-most-once.test.ts
@@ -13,6 +13,7 @@
 import {noopCounters} from '../http-counters.js';
 import {defaultHttpLimits} from '../http-limits.js';
 import {type RequestPolicy} from '../request-policy.js';
+import {createParseSchedule} from '../parse-schedule.js';
 import {createTargetConnections} from '../target-connections.js';
 import {
 	type TestResponse,
@@ -558,6 +559,11 @@
 		clock: createSystemClock(),
 		limits: defaultHttpLimits,
 		counters: noopCounters,
+		parseSchedule: createParseSchedule({
+			clock: createSystemClock(),
+			afterPoll: setImmediate,
+			onDelay: () => undefined,
+		}),
 	});
 	const {document} = fixture.state.tables!;
 	const service = {...document.services.roster!, connections: 2};
--- a/packages/io-http/src/__tests__/endless-responses.test.ts
+++ b/packages/io-http/src/__tests__/endless-responses.test.ts
@@ -5,7 +5,15 @@
 import http from 'node:http';
 import {afterEach, expect, test} from '@jest/globals';
 import {defaultHttpLimits} from '../http-limits.js';
-import {createFixture, key, send, waitUntil, type Fixture, type FixtureOptions} from './support.js';
+import {
+	connectCaller,
+	createFixture,
+	key,
+	send,
+	waitUntil,
+	type Fixture,
+	type FixtureOptions,
+} from './support.js';
 
 let fixture: Fixture;
 
@@ -179,3 +187,34 @@
 	fixture.target.setBehaviour({kind: 'answer', body: 'x'.repeat(900_000)});
 	expect(await send(fixture)).toMatchObject({status: 200});
 });
+
+// Each chunk was written by itself, and took a hundred times its bytes while the caller read nothing.
+test('tiny chunks that arrive together are written to the caller together', async () => {
+	await start();
+	const chunks = '1\r\nx\r\n'.repeat(500);
+	fixture.target.queueBehaviours({kind: 'raw', bytes: `${chunkedHead}${chunks}0\r\n\r\n`});
+	const caller = connectCaller(fixture);
+	caller.write(`GET / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\n\r\n`);
+	await waitUntil(() => caller.text.endsWith('0\r\n\r\n'));
+	const [, body] = caller.text.split(/\r\n\r\n(?=[\da-f])/);
+	const sizes = [...body!.matchAll(/^(?<size>[\da-f]+)\r$/gm)].map(({groups}) =>
+		Number.parseInt(groups!.size!, 16),
+	);
+	expect(sizes.reduce((sum, size) => sum + size, 0)).toBe(500);
+	expect(sizes.length).toBeLessThan(10);
+	caller.socket.destroy();
+});
+
+test('a small event reaches the caller at once, although the stream goes on', async () => {
+	await start();
+	const head =
+		'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n';
+	fixture.target.queueBehaviours({kind: 'raw', bytes: `${head}9\r\ndata: a\n\n\r\n`});
+	const caller = connectCaller(fixture);
+	caller.write(`GET / HTTP/1.1\r\nHost: a\r\nX-Api-Key: ${key}\r\n\r\n`);
+	await waitUntil(() => caller.text.includes('data: a'));
+	fixture.received()[0]!.socket.write('9\r\ndata: b\n\n\r\n');
+	await waitUntil(() => caller.text.includes('data: b'));
+	caller.socket.destroy();
+	await waitUntil(() => fixture.state.openGrants === 0);
+});
--- a/packages/io-http/src/attempt.ts
+++ b/packages/io-http/src/attempt.ts
@@ -17,7 +17,7 @@
 import {endsWithConnection} from './response-checks.js';
 import {type BodyFailure, type RequestBody} from './request-body.js';
 import {type AbortSignalLike} from './abort-signal.js';
-import {type TargetConnections} from './target-connections.js';
+import {type TargetConnections, type UsedConnection} from './target-connections.js';
 
 /** Maximum interim responses (1xx) before the final one; a target usually sends one or two. */
 const maxInterimResponses = 8;
@@ -145,7 +145,7 @@
 		let idleBefore: number | undefined;
 		let interimResponses = 0;
 		let response: IncomingMessage | undefined;
-		let earlierRequestIds: readonly string[] = [];
+		let connection: UsedConnection | undefined;
 		let wasReset = false;
 		const requestOptions = connections.optionsFor(target, service);
 		requestOptions.method = options.method;
@@ -223,7 +223,7 @@
 		}
 
 		request.on('socket', socket => {
-			earlierRequestIds = use(socket, options.requestId);
+			connection = use(socket, options.requestId);
 			idleBefore = request.reusedSocket ? connections.idleBefore(socket) : undefined;
 			watchConnection(request, socket, service.tls, send);
 		});
@@ -250,6 +250,7 @@
 		});
 		request.on('response', targetResponse => {
 			response = targetResponse;
+			connection?.beginResponse(targetResponse);
 			if (endsWithConnection(options.method, targetResponse)) {
 				watchReset(targetResponse.socket, () => {
 					wasReset = true;
@@ -259,7 +260,7 @@
 			settle({
 				kind: 'answered',
 				targetResponse,
-				earlierRequestIds,
+				earlierRequestIds: connection?.earlierRequestIds ?? [],
 				wasReset: () => wasReset || targetResponse.socket.errored !== null,
 				destroy() {
 					request.destroy();
--- a/packages/io-http/src/caller-connection.ts
+++ b/packages/io-http/src/caller-connection.ts
@@ -9,6 +9,7 @@
 import {type Cancellation} from './cancellation.js';
 import {type MemoryAccount, type MemoryHolder} from './memory-account.js';
 import {type ParseSchedule} from './parse-schedule.js';
+import {createPartSize} from './part-size.js';
 import {createReadGate} from './read-gate.js';
 import {createResponseOrder, type ResponseTurn} from './response-order.js';
 
@@ -90,15 +91,8 @@
  * dozen of the smallest ones.
  */
 const headPartBytes = 1024;
-/** Bounds of the bytes that are parsed at once within a body. */
-const minBodyPartBytes = 1024;
-const maxBodyPartBytes = 16_384;
 /** Bytes of the first part of a body: up to 340 chunks. */
 const firstBodyPartBytes = 2048;
-/** Milliseconds that the next part of a body may take, if it is like the last one. */
-const bodyPartMs = 1;
-/** Shortest duration of a part that is told from none, milliseconds. */
-const minMeasuredMs = 0.01;
 
 export function createCallerConnection(options: CallerConnectionOptions): CallerConnection {
 	const {socket, account, maxPipelinedRequests} = options;
@@ -115,7 +109,7 @@
 	let heldBackBytes = 0;
 	let isClosing = false;
 	let closeReason: string | undefined;
-	let bodyPartBytes = firstBodyPartBytes;
+	const bodyPartSize = createPartSize({firstBytes: firstBodyPartBytes});
 	/** Bytes of responses that have left the process, and when that number last changed. */
 	let sentBytes = 0;
 	let sentAt = options.openedAt;
@@ -158,15 +152,14 @@
 		clock: options.clock,
 		isOpen: () => mayParse() && parsingTurn.request(),
 		isDiscarding: () => isClosing,
-		partBytes: () => (latestRequest?.complete === false ? bodyPartBytes : headPartBytes),
+		partBytes: () => (latestRequest?.complete === false ? bodyPartSize.bytes : headPartBytes),
 		onHeldChange(bytes) {
 			heldBackBytes += bytes;
 			holder.change(bytes);
 		},
 		onParsed(bytes, duration) {
 			parsingTurn.record(duration);
-			const fitting = Math.floor((bytes * bodyPartMs) / Math.max(duration, minMeasuredMs));
-			bodyPartBytes = Math.min(maxBodyPartBytes, Math.max(minBodyPartBytes, fitting));
+			bodyPartSize.record(bytes, duration);
 		},
 	});
 
--- a/packages/io-http/src/caller-listener.ts
+++ b/packages/io-http/src/caller-listener.ts
@@ -195,7 +195,6 @@
 export function createCallerListener(options: CallerListenerOptions): CallerListener {
 	const {policy, clock, counters = noopCounters, tls, dialect = defaultDialect} = options;
 	const limits = {...defaultHttpLimits, ...options.limits};
-	const connections = createTargetConnections({clock, limits, counters, tls: options.targetTls});
 	const keyWatch = createKeyWithdrawalWatch({
 		clock,
 		tables: () => policy.tables(),
@@ -223,6 +222,13 @@
 			counters.increment('parsing-delays');
 		},
 	});
+	const connections = createTargetConnections({
+		clock,
+		limits,
+		counters,
+		parseSchedule,
+		tls: options.targetTls,
+	});
 	const maxConnections = Math.max(
 		1,
 		Math.min(
--- a/packages/io-http/src/parse-schedule.ts
+++ b/packages/io-http/src/parse-schedule.ts
@@ -34,6 +34,11 @@
 
 /** Milliseconds of parsing in one turn of the event loop, beyond which connections wait. */
 const maxTurnMs = 10;
+/**
+ * The same for connections that have used up their allowance: all others wait for as long in each
+ * turn, and the handling of one request takes several turns.
+ */
+const maxCostlyTurnMs = 3;
 /** Milliseconds of parsing after which the end of the turn is awaited; saves a callback for less. */
 const minTrackedMs = 1;
 /** Milliseconds of parsing that a connection may use at once. */
@@ -76,8 +81,9 @@
 
 	/** Undefined if nobody waits or the time of this turn is used up. */
 	function takeNext(): Entry | undefined {
-		const queue = waiting.ordinary.size > 0 ? waiting.ordinary : waiting.costly;
-		const [entry] = used < maxTurnMs ? queue : [];
+		const isOrdinary = waiting.ordinary.size > 0;
+		const queue = isOrdinary ? waiting.ordinary : waiting.costly;
+		const [entry] = used < (isOrdinary ? maxTurnMs : maxCostlyTurnMs) ? queue : [];
 		if (entry !== undefined) {
 			queue.delete(entry);
 		}
--- a/packages/io-http/src/read-gate.ts
+++ b/packages/io-http/src/read-gate.ts
@@ -1,8 +1,8 @@
 /**
- * Passes what arrives on a caller's socket to Node's HTTP parser in small parts, and only while the
- * gate is open. Node itself gives the parser all that one read returns, 64 KiB, and creates a
- * request for each head in it; thousands of them can exist before any of them is answered. What is
- * kept back here is at most what one read returns, because the socket is read no further then.
+ * Passes what arrives on a socket to Node's HTTP parser in small parts, and only while the gate is
+ * open. Node itself gives the parser all that one read returns, 64 KiB, and creates an object for
+ * each head and each chunk in it; thousands of them can exist before any of them is handled. What
+ * is kept back here is at most what one read returns, because the socket is read no further then.
  */
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
@@ -25,9 +25,11 @@
 export type ReadGate = {
 	/** To be called when the gate may have opened. */
 	update(): void;
+	/** To be called when another parser listens for the data, which must then be timed anew. */
+	attach(): void;
 };
 
-/** To be called after Node's HTTP server has taken over the socket. */
+/** To be called after Node's HTTP server or client has taken over the socket. */
 export function createReadGate(socket: Socket, options: ReadGateOptions): ReadGate {
 	const {isOpen, isDiscarding} = options;
 	const pushToStream = socket.push.bind(socket);
@@ -143,13 +145,23 @@
 	// the time is taken by listeners before and after that one. With another listener, Node also no
 	// longer reads the data within the parser.
 	let parsingSince = 0;
-	socket.prependListener('data', () => {
+	function beginPart(): void {
 		parsingSince = options.clock.monotonic();
-	});
-	socket.on('data', (part: Uint8Array) => {
+	}
+
+	function endPart(part: Uint8Array): void {
 		unparsedBytes -= part.length;
 		options.onParsed(part.length, options.clock.monotonic() - parsingSince);
 		update();
-	});
-	return {update};
+	}
+
+	socket.prependListener('data', beginPart);
+	socket.on('data', endPart);
+	return {
+		update,
+		attach() {
+			socket.off('data', endPart);
+			socket.on('data', endPart);
+		},
+	};
 }
--- a/packages/io-http/src/response-drain.ts
+++ b/packages/io-http/src/response-drain.ts
@@ -13,17 +13,19 @@
 	readonly destroy: () => void;
 };
 
-/** Bytes; the body of an error response is a short text. */
-const maxBytes = 65_536;
+/** Estimated bytes of memory; the body of an error response is a short text. */
+const maxCost = 65_536;
+/** Estimated bytes of the objects of one chunk, so that tiny ones count for their work. */
+const chunkCost = 256;
 /** Milliseconds; several times what the rest of a short text takes to arrive. */
 const timeoutMs = 500;
 
 export function drainResponse({clock, targetResponse, destroy}: ResponseDrainOptions): void {
-	let bytes = 0;
+	let cost = 0;
 	const cancelTimer = clock.after(timeoutMs, destroy);
 	targetResponse.on('data', (chunk: Uint8Array) => {
-		bytes += chunk.length;
-		if (bytes > maxBytes) {
+		cost += chunk.length + chunkCost;
+		if (cost > maxCost) {
 			destroy();
 		}
 	});
--- a/packages/io-http/src/response-pump.ts
+++ b/packages/io-http/src/response-pump.ts
@@ -6,12 +6,13 @@
  * A response whose turn on its connection has not begun is held back altogether: a failure can be
  * replaced until then, and its target need not wait for the responses before it.
  */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {nextTick} from 'node:process';
 import {type Clock} from '@shallotpond/kernel/clock';
 import {checkHeaderSyntax} from '@shallotpond/kernel/header-syntax';
 import {type ByteBudget} from './byte-budget.js';
 import {onAbort} from './cancellation.js';
+import {createChunkCollector} from './chunk-collector.js';
 import {createIdleTimer, type IdleTimer} from './idle-timer.js';
 import {type AbortSignalLike} from './abort-signal.js';
 import {type RepeatedResponseFilter} from './repeated-response-filter.js';
@@ -57,6 +58,10 @@
  * connection on Linux is at least this large.
  */
 const maxBytesOfOneWrite = 16_384;
+/** Bytes from which a chunk is written by itself; smaller ones that are parsed together are joined. */
+const minBytesOfOneWrite = 4096;
+/** Estimated bytes of the objects that hold one write to the caller, besides what is written. */
+const writeCost = 512;
 
 export type PumpOptions = {
 	readonly clock: Clock;
@@ -125,14 +130,16 @@
 export async function pumpResponse(options: PumpOptions): Promise<PumpResult> {
 	const {clock, targetResponse, response, turn, unframed, exactBytes = Infinity} = options;
 	return new Promise(resolve => {
-		const heldChunks: Uint8Array[] = [];
-		let heldBytes = 0;
-		/** Bytes taken from each budget. */
+		/** What is held back. */
+		const held = createChunkCollector();
+		/** Small chunks that are about to be written to the caller, joined. */
+		const unwritten = createChunkCollector();
+		/** Estimated bytes of memory taken from each budget. */
 		const taken = {hold: 0, queue: 0};
 		/** Bytes forwarded ahead of the caller since it last had read all. */
 		let aheadBytes = 0;
-		/** Held bytes that wait for the turn, whether the budget had room for them or not. */
-		let queuedBytes = 0;
+		/** Cost of what waits for the turn, whether the budget had room for it or not. */
+		let queuedCost = 0;
 		let isHoldBudgetUsedUp = false;
 		let forwardedBytes = 0;
 		let hasBegun = false;
@@ -169,6 +176,10 @@
 				return;
 			}
 
+			if (hasBegun) {
+				writeOut();
+			}
+
 			isFinished = true;
 			leaveTarget();
 			callerTimer?.stop();
@@ -191,11 +202,10 @@
 		/** To be called when the held bytes have been forwarded or are not needed. */
 		function releaseHeld(): void {
 			options.holdBudget.release(taken.hold);
-			options.onQueuedChange(-queuedBytes);
+			options.onQueuedChange(-queuedCost);
 			taken.hold = 0;
-			queuedBytes = 0;
-			heldChunks.length = 0;
-			heldBytes = 0;
+			queuedCost = 0;
+			held.take();
 		}
 
 		function startCallerTimer(): void {
@@ -229,17 +239,41 @@
 		/** Whether the bytes, which the caller does not read yet, may wait for it in memory. */
 		function mayReadAhead(bytes: number): boolean {
 			aheadBytes += bytes;
-			return aheadBytes <= options.maxAheadBytes && takeFromQueue(bytes);
+			return aheadBytes <= options.maxAheadBytes && takeFromQueue(bytes + writeCost);
 		}
 
-		function forward(chunk: Uint8Array): void {
-			forwardedBytes += chunk.length;
-			if (!response.write(chunk) && !mayReadAhead(chunk.length)) {
+		function write(bytes: Uint8Array): void {
+			forwardedBytes += bytes.length;
+			if (!response.write(bytes) && !mayReadAhead(bytes.length)) {
 				holdUpTarget();
 				startCallerTimer();
 			}
 		}
 
+		function writeOut(): void {
+			if (unwritten.bytes > 0) {
+				write(unwritten.take());
+			}
+		}
+
+		/** Small chunks that are parsed at the same time are written together. */
+		function forward(chunk: Uint8Array): void {
+			if (chunk.length >= minBytesOfOneWrite) {
+				writeOut();
+				write(chunk);
+				return;
+			}
+
+			if (unwritten.bytes === 0) {
+				nextTick(writeOut);
+			}
+
+			unwritten.push(chunk);
+			if (unwritten.bytes >= maxBytesOfOneWrite) {
+				writeOut();
+			}
+		}
+
 		function begin(framing: CallerFraming): void {
 			hasBegun = true;
 			try {
@@ -250,44 +284,48 @@
 				return;
 			}
 
-			const body = heldChunks.length === 1 ? heldChunks[0]! : Buffer.concat(heldChunks, heldBytes);
+			const body = held.take();
 			releaseHeld();
 			releaseQueue();
 			if (body.length > 0) {
-				forward(body);
+				write(body);
 			}
 		}
 
 		function hold(chunk: Uint8Array): void {
-			heldChunks.push(chunk);
-			heldBytes += chunk.length;
+			const costBefore = held.cost;
+			held.push(chunk);
+			const cost = held.cost - costBefore;
 			if (turn.hasBegun) {
-				const isBudgeted = options.holdBudget.take(chunk.length);
-				taken.hold += isBudgeted ? chunk.length : 0;
+				const isBudgeted = options.holdBudget.take(cost);
+				taken.hold += isBudgeted ? cost : 0;
 				isHoldBudgetUsedUp ||= !isBudgeted;
 				return;
 			}
 
-			queuedBytes += chunk.length;
-			options.onQueuedChange(chunk.length);
-			if (!takeFromQueue(chunk.length)) {
+			queuedCost += cost;
+			options.onQueuedChange(cost);
+			if (!takeFromQueue(cost)) {
 				holdUpTarget();
 			}
 		}
 
+		/** Bytes of the body that have arrived. */
+		const receivedBytes = () => forwardedBytes + unwritten.bytes + held.bytes;
+
 		/** Begins to forward the response if enough of it has arrived. */
 		function tryBegin(): void {
 			// A body below the minimum is held in any case, because it must not be forwarded.
 			const holdBytes = turn.isLast ? options.holdBytes : options.holdBytesBeforeOthers;
 			const isEnough =
-				heldBytes >= holdBytes || (isHoldBudgetUsedUp && heldBytes >= options.minBodyBytes);
-			if (turn.hasBegun && heldBytes > 0 && isEnough) {
+				held.bytes >= holdBytes || (isHoldBudgetUsedUp && held.bytes >= options.minBodyBytes);
+			if (turn.hasBegun && held.bytes > 0 && isEnough) {
 				begin('default');
 			}
 		}
 
 		function takeBody(chunk: Uint8Array): void {
-			if (forwardedBytes + heldBytes + chunk.length > exactBytes) {
+			if (receivedBytes() + chunk.length > exactBytes) {
 				finish('cut');
 			} else if (hasBegun) {
 				forward(chunk);
@@ -340,8 +378,8 @@
 				return 'default';
 			}
 
-			const needsLength = isBodyCertain || heldBytes > maxBytesOfOneWrite || !turn.isLast;
-			return needsLength ? heldBytes : 'none';
+			const needsLength = isBodyCertain || held.bytes > maxBytesOfOneWrite || !turn.isLast;
+			return needsLength ? held.bytes : 'none';
 		}
 
 		function handleDrain(): void {
@@ -374,9 +412,9 @@
 				return;
 			}
 
-			if (forwardedBytes + heldBytes < (options.exactBytes ?? 0)) {
+			if (receivedBytes() < (options.exactBytes ?? 0)) {
 				finish('cut');
-			} else if (!hasBegun && heldBytes < options.minBodyBytes) {
+			} else if (!hasBegun && held.bytes < options.minBodyBytes) {
 				finish('blank');
 			} else {
 				deliver(isBodyCertain);
--- a/packages/io-http/src/target-connections.ts
+++ b/packages/io-http/src/target-connections.ts
@@ -13,6 +13,8 @@
 import {type Clock} from '@shallotpond/kernel/clock';
 import {type HttpCounters} from './http-counters.js';
 import {type HttpLimits} from './http-limits.js';
+import {type ParseSchedule} from './parse-schedule.js';
+import {createTargetReader, type TargetReader} from './target-reader.js';
 
 export type TargetTls = {
 	/**
@@ -27,6 +29,8 @@
 	readonly clock: Clock;
 	readonly limits: HttpLimits;
 	readonly counters: HttpCounters;
+	/** Shares the time for parsing responses. */
+	readonly parseSchedule: ParseSchedule;
 	readonly tls?: TargetTls;
 };
 
@@ -34,14 +38,21 @@
 
 export type ConnectionReservation = {
 	/**
-	 * Registers the connection that the request uses. Returns the ids of the latest earlier requests
-	 * on it.
+	 * Registers the connection that the request uses; to be called when Node has given it to the
+	 * request.
 	 */
-	use(socket: Socket, requestId: string | undefined): readonly string[];
+	use(socket: Socket, requestId: string | undefined): UsedConnection;
 	/** Releases the reservation if no connection was used; otherwise does nothing. */
 	cancel(): void;
 };
 
+export type UsedConnection = {
+	/** Ids of the latest earlier requests on the connection. */
+	readonly earlierRequestIds: readonly string[];
+	/** To be called when the head of the response has been parsed. */
+	beginResponse(response: http.IncomingMessage): void;
+};
+
 export type TargetConnections = {
 	/**
 	 * Agent for the target, and the options that every request to it needs. Returns a new object, to
@@ -111,6 +122,7 @@
 	const idleTimes = new WeakMap<Duplex, number>();
 	/** Ids of the latest requests on a connection, the newest last. */
 	const requestIds = new WeakMap<Duplex, readonly string[]>();
+	const readers = new WeakMap<Duplex, TargetReader>();
 
 	function addRequestId(socket: Socket, requestId: string | undefined): readonly string[] {
 		const earlier = requestIds.get(socket) ?? noIds;
@@ -146,7 +158,8 @@
 
 	function mayKeep(socket: Duplex): boolean {
 		const registration = registrations.get(socket);
-		if (registration === undefined || socket.destroyed || socket.readableLength > 0) {
+		const unreadBytes = socket.readableLength + (readers.get(socket)?.unparsedBytes ?? 0);
+		if (registration === undefined || socket.destroyed || unreadBytes > 0) {
 			return false;
 		}
 
@@ -210,6 +223,16 @@
 		}
 	}
 
+	function readerOf(socket: Socket): TargetReader {
+		let reader = readers.get(socket);
+		if (reader === undefined) {
+			reader = createTargetReader(socket, {clock, parseSchedule: options.parseSchedule});
+			readers.set(socket, reader);
+		}
+
+		return reader;
+	}
+
 	function register(socket: Socket, registration: Registration): void {
 		const {address} = registration;
 		const isKnown = registrations.has(socket);
@@ -277,7 +300,12 @@
 				use(socket, requestId) {
 					settle();
 					register(socket, {address, idleLimit});
-					return addRequestId(socket, requestId);
+					const reader = readerOf(socket);
+					reader.beginRequest();
+					return {
+						earlierRequestIds: addRequestId(socket, requestId),
+						beginResponse: reader.beginResponse,
+					};
 				},
 				cancel: settle,
 			};
--- a/packages/soak/src/__tests__/instance-under-test.ts
+++ b/packages/soak/src/__tests__/instance-under-test.ts
@@ -111,7 +111,17 @@
 	});
 }
 
-export async function startInstance(limits: ProcessLimits): Promise<InstanceUnderTest> {
+export type InstanceOptions = {
+	/** `host:port` of a target of the service `faulty`, whose routes begin with `/faulty/`. */
+	readonly faultyTarget?: string;
+};
+
+const services = ['lookups', 'faulty'] as const;
+
+export async function startInstance(
+	limits: ProcessLimits,
+	{faultyTarget}: InstanceOptions = {},
+): Promise<InstanceUnderTest> {
 	const store = createStandInStore({clock: createSystemClock()});
 	await store.start();
 	const target = createTarget().listen(0, '127.0.0.1');
@@ -140,29 +150,36 @@
 			routes: [
 				{...routeDefaults, name: 'lookups', prefix: '/lookups/', kind: 'safe'},
 				{...routeDefaults, name: 'bookings', prefix: '/bookings/', kind: 'unsafe'},
+				{...routeDefaults, name: 'faulty', prefix: '/faulty/', kind: 'safe', service: 'faulty'},
 			],
-			services: ['lookups'],
+			services: [...services],
 			workspaces: [{name: 'reed', keys: [workspaceKey], rate: 0, burst: 0}],
 			coldRate: 100_000,
 			coldSeconds: 0,
 		}),
 	);
-	store.write(
-		storeKeyOf.target('target-0'),
-		encodeTarget(
-			{
-				id: 'target-0',
+	const targetAddresses = {
+		lookups: `127.0.0.1:${(target.address() as AddressInfo).port}`,
+		faulty: faultyTarget,
+	};
+	for (const service of services) {
+		const targetAddress = targetAddresses[service];
+		if (targetAddress !== undefined) {
+			const id = `target-of-${service}`;
+			const entry = {
+				id,
 				startTime: Date.now(),
-				service: 'lookups',
-				address: `127.0.0.1:${(target.address() as AddressInfo).port}`,
+				service,
+				address: targetAddress,
 				failureDomain: 'north',
 				slots: 64,
 				state: 'ready',
 				coldFor: 0,
-			},
-			1,
-		),
-	);
+			} as const;
+			store.write(storeKeyOf.target(id), encodeTarget(entry, 1));
+		}
+	}
+
 	const file = path.join(directory, 'settings.json');
 	await writeFile(file, JSON.stringify(settings));
 	const child = spawn(
--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -18,7 +18,7 @@
  * Tests whose results depend on the memory that the machine has to spare. They run after all
  * others, one at a time.
  */
-const separateTests = 'hostile-clients';
+const separateTests = 'soak/src/__tests__/hostile-';
 const jestArguments = process.argv.slice(2);
 const runs =
 	jestArguments.length > 0
