Follow the store again soon after an outage

Cause: a call that the outage swallows fails 1.5 s after the store has returned, and its reader then avoided the store for 2.5 s while a member seemed up to date. These members had read the store once and follow the readers again.

Change: the store is avoided for 0.6 s, about one question to a member.

Tests: store-outage fails before: the newest confirmation of a fleet is up to 1,210 and 1,340 ms old after the stable window.

--- a/packages/io-http/src/request-policy.ts
+++ b/packages/io-http/src/request-policy.ts
@@ -97,8 +97,9 @@
 	readonly kind: 'allowed';
 	/**
 	 * Reports that the target crashed: the connection broke after the first byte of the request was
-	 * written and before the head of a response arrived, and the target kept no new one. Resolves when the report has been recorded, or after a timeout,
-	 * so that a retry by the caller is checked against the report.
+	 * written and before the head of a response arrived, and the target kept no new one. Resolves
+	 * when the report has been recorded, or after a timeout, so that a retry by the caller is checked
+	 * against the report.
 	 */
 	reportCrash(target: string): Promise<void>;
 	/**
@@ -152,11 +153,11 @@
 	/** Claims an idempotency key for the first request that carries it. */
 	claimIdempotencyKey(request: IdempotencyRequest): Promise<GrantedIdempotencyClaim | Refusal>;
 	/**
-	 * Called before each attempt. A request at which a target crashed is suspect; one at which
-	 * several did (`maxCrashedTargets` of policy-requests) is refused. Waits while
-	 * another copy of a suspect request is in progress, at most until the deadline (monotonic
-	 * milliseconds). `fingerprint` computes a digest of the request; it is called only while any
-	 * request is suspect, or after a crash.
+	 * Called before each attempt. A request at which a target crashed is suspect; one at which several
+	 * did (`maxCrashedTargets` of policy-requests) is refused. Waits while another copy of a suspect
+	 * request is in progress, at most until the deadline (monotonic milliseconds). `fingerprint`
+	 * computes a digest of the request; it is called only while any request is suspect, or after a
+	 * crash.
 	 */
 	acquireAttemptPermit(
 		fingerprint: () => string,
--- a/packages/policy-fleet/src/sync-source-selector.ts
+++ b/packages/policy-fleet/src/sync-source-selector.ts
@@ -45,8 +45,15 @@
  */
 const minReaders = 6;
 const maxReadersPerDomain = 2;
-/** Milliseconds for which a source is avoided after a failure. */
-const avoidancePeriod = 2500;
+/** Milliseconds for which a member is avoided after a failure. */
+const memberAvoidancePeriod = 2500;
+/**
+ * Milliseconds for which the store is avoided after a failure: about one question to a member. The
+ * members that are read meanwhile follow the readers, which may all avoid the store; a call that an
+ * outage swallows fails 1.5 s after the store has returned, and the fleet must follow it again
+ * within 3 s.
+ */
+const storeAvoidancePeriod = 600;
 /**
  * Milliseconds. An instance that was last confirmed to be up to date longer ago than this reads
  * from the store itself instead of from its usual source.
@@ -131,9 +138,9 @@
 		recordFailure(source, now) {
 			hasFailed = true;
 			if (source.kind === 'store') {
-				storeAvoidedUntil = now + avoidancePeriod;
+				storeAvoidedUntil = now + storeAvoidancePeriod;
 			} else {
-				avoidedUntil.set(source.address, now + avoidancePeriod);
+				avoidedUntil.set(source.address, now + memberAvoidancePeriod);
 				currentReader = undefined;
 			}
 		},
