Keep the wire name of the request's id out of a test

Cause: hostile-targets spelled out a header of the platform, which the test wire-names allows only in the adapter.

Change: the name comes from the encoding of the stand-ins.

--- a/packages/soak/src/__tests__/hostile-targets.test.ts
+++ b/packages/soak/src/__tests__/hostile-targets.test.ts
@@ -51,6 +51,11 @@
 	instance = undefined;
 });
 
+/** Finds the id of a request, which its response repeats in a header of the same name. */
+const idHeaders = Object.entries(encodeResponseHeaders('id', 'seal'));
+const [idHeader] = idHeaders.find(([, value]) => value === 'id')!;
+const idPattern = new RegExp(`^${idHeader}: (.*)\\r$`, 'im');
+
 /** Answers each request with the head, to which the id is added, and the piece without end. */
 async function startTarget(head: string, piece: string): Promise<string> {
 	const pieces = Buffer.from(piece.repeat(Math.ceil(minWriteBytes / piece.length)));
@@ -59,7 +64,7 @@
 		socket.on('error', () => undefined);
 		socket.once('close', () => sockets.delete(socket));
 		socket.on('data', data => {
-			const id = /^x-shallotpond-request-id: (?<id>.*)\r$/im.exec(String(data))?.groups?.id ?? '';
+			const id = idPattern.exec(String(data))?.[1] ?? '';
 			const headers = Object.entries(encodeResponseHeaders(id, 'seal'));
 			socket.write(
 				head + headers.map(([name, value]) => `${name}: ${value}\r\n`).join('') + '\r\n',
