Ask the seeds often until the first contact

Cause: the first question to the seeds came before these had started, and the next one 500 ms later. Instances stood alone for 0.62 to 0.75 s and admitted only the part of one that knows nobody.

Change: the seeds are asked every 100 ms until the first contact, for 3 s. After a contact within a second, the limits of a new instance are those from before until the others are known.

--- a/packages/policy-fleet/src/fleet-member.ts
+++ b/packages/policy-fleet/src/fleet-member.ts
@@ -67,7 +67,11 @@
 	recordLoadChange(): void;
 };
 
-/** Milliseconds between two roster requests, during discovery and afterwards. */
+/**
+ * Milliseconds between two roster requests: until the first contact, as seeds may be starting as
+ * well, during discovery, and afterwards.
+ */
+const firstRosterInterval = 100;
 const discoveryRosterInterval = 500;
 const steadyRosterInterval = 5000;
 /**
@@ -75,6 +79,8 @@
  * may be starting as well. It does so for longer if it knows no other member yet.
  */
 const discoveryPeriod = 6000;
+/** Milliseconds after the start in which requests until the first contact follow each other closely. */
+const firstContactPeriod = 3000;
 /**
  * Maximum number of members in a roster answer, so that it fits into one packet at the smallest
  * common MTU.
@@ -172,10 +178,19 @@
 		return outgoing;
 	}
 
+	function rosterInterval(age: number, isDiscovering: boolean): number {
+		if (roster.firstContactAt === undefined && age < firstContactPeriod) {
+			return firstRosterInterval;
+		}
+
+		return isDiscovering ? discoveryRosterInterval : steadyRosterInterval;
+	}
+
 	function requestRoster(now: number): OutboundFleetMessage[] {
 		startedAt ??= now;
-		const isDiscovering = now - startedAt < discoveryPeriod || roster.size === 1;
-		if (now - requestedAt < (isDiscovering ? discoveryRosterInterval : steadyRosterInterval)) {
+		const age = now - startedAt;
+		const isDiscovering = age < discoveryPeriod || roster.size === 1;
+		if (now - requestedAt < rosterInterval(age, isDiscovering)) {
 			return [];
 		}
 
--- a/packages/policy-routing/src/workspace-rate-limiter.ts
+++ b/packages/policy-routing/src/workspace-rate-limiter.ts
@@ -116,15 +116,15 @@
  */
 const minRefillRate = 0.001;
 /**
- * Time after the start in which an instance may not know the others yet. It would mistake its own
- * demand for that of the fleet, so during this time it is limited to an equal part of the refill
- * rate.
+ * Time after the start in which an instance may not know the others yet, by what it knows of them.
+ * It would mistake its own demand for that of the fleet, so during this time it is limited to an
+ * equal part of the refill rate. After a first contact within a second, the others are known soon.
  */
-const discoveryTimeMs = 2000;
-/** Minimum number of instances by which the refill rate is divided during `discoveryTimeMs`. */
+const initialTimesMs = {none: 0, partial: 2500, whole: 2000} as const;
+/** Minimum number of instances by which the refill rate is divided during that time. */
 const minAssumedInstances = 32;
 /**
- * Requests that a new instance in contact with others may admit within `demandWindowMs`, however small its part of the
+ * Requests that a new instance may admit within `demandWindowMs`, however small its part of the
  * refill rate is.
  */
 const minInitialAdmissions = 1;
@@ -218,18 +218,12 @@
 
 	/**
 	 * Whether an instance that does not know the whole fleet has used up its part of the refill rate.
-	 * One in contact with others since its start may admit more in the beginning, because few start
-	 * at the same time or their reports arrive soon.
+	 * It may admit more in the beginning, while the others are about to become known.
 	 */
 	function isInitialPartUsed(usage: Usage, refillRate: number, now: number): boolean {
 		const knowledge = options.fleetKnowledge();
-		const isNew = now - startedAt < discoveryTimeMs;
-		if (knowledge === 'none' || (knowledge === 'partial' && !isNew)) {
-			return usage.ownPart.tokens < 1;
-		}
-
-		if (!isNew) {
-			return false;
+		if (now - startedAt >= initialTimesMs[knowledge]) {
+			return knowledge !== 'whole' && usage.ownPart.tokens < 1;
 		}
 
 		const initialPart =
