Share the check for an unread body, and drop held chunks without joining them

`target-reader` wrote again what `caller-connection` asks before it parses on, and the pump joined the chunks of a response, up to 1 MiB, only to forget them.

Change: `isBodyUnread` in `read-gate` serves both directions; `ChunkCollector` has `clear`.

--- a/packages/io-http/src/caller-connection.ts
+++ b/packages/io-http/src/caller-connection.ts
@@ -10,7 +10,7 @@
 import {type MemoryAccount, type MemoryHolder} from './memory-account.js';
 import {type ParseSchedule} from './parse-schedule.js';
 import {createPartSize} from './part-size.js';
-import {createReadGate} from './read-gate.js';
+import {createReadGate, isBodyUnread} from './read-gate.js';
 import {createResponseOrder, type ResponseTurn} from './response-order.js';
 
 /** A request whose response has not ended. */
@@ -129,15 +129,6 @@
 		gate.update();
 	});
 
-	/** Whether the parser is within a body that nobody reads at the moment. */
-	function isBodyBlocked(): boolean {
-		return (
-			latestRequest !== undefined &&
-			!latestRequest.complete &&
-			latestRequest.readableFlowing !== true
-		);
-	}
-
 	function mayParse(): boolean {
 		// The last response on the connection of a leaving instance closes it.
 		const takesOthers = !account.isLow && !options.isLeaving() && partial.size === 0;
@@ -145,7 +136,9 @@
 		const isWithinBody = latestRequest?.complete === false;
 		// The body of the latest request may arrive although no further request is parsed.
 		const hasRoom = isWithinBody || responses.size < maxRequests;
-		return !isClosing && hasRoom && !isBodyBlocked() && !(account.isLow && holder.isLarge);
+		return (
+			!isClosing && hasRoom && !isBodyUnread(latestRequest) && !(account.isLow && holder.isLarge)
+		);
 	}
 
 	const gate = createReadGate(socket, {
--- a/packages/io-http/src/chunk-collector.ts
+++ b/packages/io-http/src/chunk-collector.ts
@@ -12,6 +12,8 @@
 	push(chunk: Uint8Array): void;
 	/** Returns the collected chunks, joined, and forgets them. */
 	take(): Uint8Array;
+	/** Forgets the collected chunks. */
+	clear(): void;
 };
 
 /** Bytes of a block; chunks of this size or more are kept as they are. */
@@ -54,6 +56,13 @@
 		used += chunk.length;
 	}
 
+	function clear(): void {
+		chunks = [];
+		bytes = 0;
+		cost = 0;
+		block = undefined;
+	}
+
 	return {
 		get bytes() {
 			return bytes;
@@ -78,10 +87,9 @@
 				chunks.length === 1
 					? Buffer.from(chunks[0]!.buffer, chunks[0]!.byteOffset, bytes)
 					: Buffer.concat(chunks, bytes);
-			chunks = [];
-			bytes = 0;
-			cost = 0;
+			clear();
 			return joined;
 		},
+		clear,
 	};
 }
--- a/packages/io-http/src/read-gate.ts
+++ b/packages/io-http/src/read-gate.ts
@@ -5,6 +5,7 @@
  * is kept back here is at most what one read returns, because the socket is read no further then.
  */
 import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Clock} from '@shallotpond/kernel/clock';
 
@@ -29,6 +30,11 @@
 	attach(): void;
 };
 
+/** Whether the parser is within the body of the message and nobody reads it at the moment. */
+export function isBodyUnread(message: IncomingMessage | undefined): boolean {
+	return message !== undefined && !message.complete && message.readableFlowing !== true;
+}
+
 /** To be called after Node's HTTP server or client has taken over the socket. */
 export function createReadGate(socket: Socket, options: ReadGateOptions): ReadGate {
 	const {isOpen, isDiscarding} = options;
--- a/packages/io-http/src/response-pump.ts
+++ b/packages/io-http/src/response-pump.ts
@@ -205,7 +205,7 @@
 			options.onQueuedChange(-queuedCost);
 			taken.hold = 0;
 			queuedCost = 0;
-			held.take();
+			held.clear();
 		}
 
 		function startCallerTimer(): void {
--- a/packages/io-http/src/target-reader.ts
+++ b/packages/io-http/src/target-reader.ts
@@ -10,7 +10,7 @@
 import {type Clock} from '@shallotpond/kernel/clock';
 import {createPartSize} from './part-size.js';
 import {type ParseSchedule} from './parse-schedule.js';
-import {createReadGate} from './read-gate.js';
+import {createReadGate, isBodyUnread} from './read-gate.js';
 
 export type TargetReader = {
 	/** Bytes that were read and not parsed yet. */
@@ -39,14 +39,9 @@
 		gate.update();
 	});
 
-	/** Whether the parser is within a body that nobody reads at the moment. */
-	function isBodyBlocked(): boolean {
-		return response !== undefined && !response.complete && response.readableFlowing !== true;
-	}
-
 	const gate = createReadGate(socket, {
 		clock,
-		isOpen: () => !isBodyBlocked() && parsingTurn.request(),
+		isOpen: () => !isBodyUnread(response) && parsingTurn.request(),
 		isDiscarding: () => false,
 		partBytes: () => partSize.bytes,
 		onHeldChange(bytes) {
